Decide a query and a rollout in the reducer

Cause: every decision is to be testable without a socket. Change: handlers for admission, planning, scatter, gather, retry, claim and answer, and for reading the rollout, the bundle and the host list.

--- /dev/null
+++ b/src/quetzallift/control/controlstate.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "quetzallift/model/controlsnapshot.h"
+#include "quetzallift/model/platform.h"
+
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace Quetzallift
+{
+// Who this entry host is, from its settings.
+struct HostIdentity {
+    std::string name;
+    std::string address;
+    std::string peerAddress;
+    std::string dataCentre;
+    std::string region;
+    unsigned trafficThreads = 1;
+    // The longest time a graceful stop may take.
+    Duration stopLimit = std::chrono::seconds(30);
+};
+
+// What the control thread does with the reply of a platform call.
+enum class PlatformPurpose {
+    ReadRollout,
+    WatchRollout,
+    ReadBundle,
+    ReadHosts,
+    CreateClaim,
+    ReadClaim,
+    RecordOutcome,
+};
+
+// A claim that is being made.
+struct PendingClaim {
+    unsigned thread = 0;
+    QueryId query;
+    std::string object;
+    ClaimRecord record;
+};
+
+// A platform call that has not been answered.
+struct PendingCall {
+    PlatformPurpose purpose = PlatformPurpose::ReadRollout;
+    // Key into pendingClaims, for calls about claims.
+    std::uint64_t claim = 0;
+};
+
+// The state of the control thread.
+struct ControlState {
+    // True on the control thread only.
+    bool active = false;
+    HostIdentity self;
+    Generation generation;
+    BundlePtr bundle;
+    // The rollout whose bundle is being read.
+    RolloutRecord wanted;
+    std::uint64_t rolloutVersion = 0;
+    HostListRecord hostList;
+    std::uint64_t addressesVersion = 0;
+    std::unordered_map<PlatformCallId, PendingCall> calls;
+    std::uint64_t lastCall = 0;
+    std::unordered_map<std::uint64_t, PendingClaim> claims;
+    std::uint64_t lastClaim = 0;
+    // Versions of the claim objects that this host holds.
+    std::unordered_map<std::string, std::pair<std::uint64_t, ClaimRecord>> heldClaims;
+    bool stopping = false;
+    std::set<unsigned> stoppedThreads;
+};
+}
--- /dev/null
+++ b/src/quetzallift/query/admit.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "quetzallift/model/ids.h"
+#include "quetzallift/model/step.h"
+
+#include <string>
+
+namespace Quetzallift
+{
+struct QueryArrived;
+struct ReduceContext;
+
+// Checks a query against the bundle and the host's state. Emits the refusal and returns false if it may not run.
+bool admit(ReduceContext &context, const QueryArrived &event);
+
+// Answers that nothing of the query was run, and why.
+void refuse(ReduceContext &context, QueryId query, Step step, const std::string &reason);
+}
--- /dev/null
+++ b/tests/edge/querycodec_test.cpp
@@ -0,0 +1,30 @@
+#include "quetzallift/edge/querycodec.h"
+#include "quetzallift/model/error.h"
+
+#include <criterion/criterion.h>
+
+using namespace Quetzallift;
+
+namespace
+{
+std::string errorOf(const std::string &body)
+{
+    try {
+        decodeQuery(body, "10.0.0.1:5");
+    } catch (const Error &error) {
+        return error.what();
+    }
+    return {};
+}
+}
+
+// Guards against a query that runs with another meaning than its caller wrote.
+Test(querycodec, errorsNameFieldValueAndWhatIsAllowed)
+{
+    const std::string error = errorOf(R"({"request":"r","caller":"c","back_end":"b","key":"k","deadline_ms":0})");
+    cr_assert(error.find("10.0.0.1:5") != std::string::npos);
+    cr_assert(error.find("deadline_ms is 0; allowed: a number from 1 to 60000") != std::string::npos, "%s", error.c_str());
+    cr_assert(errorOf(R"({"request":"r","caller":"c","back_end":"b","key":"k","depth":1})").find("depth is not a known field") != std::string::npos);
+    cr_assert(errorOf(R"({"request":"r","caller":"c","back_end":"b"})").find("key is missing") != std::string::npos);
+    cr_assert(errorOf(R"({"request":"r","caller":"c","back_end":"b","key":"k","text":"t"})").find("exactly one") != std::string::npos);
+}
