Serve a query over HTTP from end to end

Cause: the path caller, entry host, searchers, answer must run on real sockets before anything is built on it.

--- /dev/null
+++ b/src/quetzallift/app/entryhost.cpp
@@ -0,0 +1,74 @@
+#include "quetzallift/app/entryhost.h"
+
+#include "quetzallift/app/log.h"
+
+#include <random>
+
+namespace Quetzallift
+{
+EntryHost::EntryHost(Settings settings)
+    : m_settings(std::move(settings))
+    , m_platform(m_loop, m_settings.platform)
+{
+    m_loop.state().control.self = m_settings.host;
+    m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
+        return engine();
+    };
+    m_loop.setEffectHandler([this](const Effect &effect) {
+        carryOut(effect);
+    });
+    for (unsigned number = 0; number < m_settings.host.trafficThreads; ++number) {
+        m_traffic.push_back(std::make_unique<TrafficThread>(number, m_settings, m_metrics, [this](EventBody event) {
+            m_loop.post(std::move(event));
+        }));
+    }
+}
+
+EntryHost::~EntryHost() = default;
+
+int EntryHost::run()
+{
+    for (const auto &thread : m_traffic) {
+        thread->start();
+    }
+    writeLog({LogLevel::Info, Step::Join, m_settings.host.address, {}, "serving"}, m_settings.host.name);
+    m_loop.dispatch(Started{});
+    m_loop.run();
+    for (const auto &thread : m_traffic) {
+        thread->finish();
+    }
+    return m_exitCode;
+}
+
+void EntryHost::requestStop()
+{
+    m_loop.post(StopRequested{});
+}
+
+void EntryHost::postToTraffic(const EventBody &event)
+{
+    for (const auto &thread : m_traffic) {
+        thread->post(event);
+    }
+}
+
+void EntryHost::carryOut(const Effect &effect)
+{
+    if (const auto *call = std::get_if<CallPlatform>(&effect)) {
+        m_platform.call(*call);
+    } else if (const auto *publish = std::get_if<PublishControlSnapshot>(&effect)) {
+        postToTraffic(ControlSnapshotPublished{publish->snapshot});
+    } else if (const auto *settle = std::get_if<SettleClaim>(&effect)) {
+        m_traffic.at(settle->thread)->post(settle->settled);
+    } else if (std::holds_alternative<StopTraffic>(effect)) {
+        postToTraffic(StopRequested{});
+    } else if (const auto *exit = std::get_if<Exit>(&effect)) {
+        m_exitCode = exit->code;
+        m_loop.stop();
+    } else if (const auto *log = std::get_if<WriteLog>(&effect)) {
+        writeLog(log->record, m_settings.host.name);
+    } else if (const auto *metric = std::get_if<CountMetric>(&effect)) {
+        m_metrics.count(*metric);
+    }
+}
+}
--- /dev/null
+++ b/src/quetzallift/app/entryhost.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "quetzallift/app/metrics.h"
+#include "quetzallift/app/settings.h"
+#include "quetzallift/app/trafficthread.h"
+#include "quetzallift/edge/eventloop.h"
+#include "quetzallift/edge/platformclient.h"
+
+#include <memory>
+#include <vector>
+
+namespace Quetzallift
+{
+// One entry host: the control loop on the calling thread and the traffic threads beside it.
+class EntryHost
+{
+public:
+    explicit EntryHost(Settings settings);
+    ~EntryHost();
+    EntryHost(const EntryHost &) = delete;
+    EntryHost &operator=(const EntryHost &) = delete;
+
+    // Serves until a graceful stop, or a second stop request, ends it. Returns the exit code of the process.
+    int run();
+
+    // Asks for a stop. Any thread may call it.
+    void requestStop();
+
+private:
+    void carryOut(const Effect &effect);
+    void postToTraffic(const EventBody &event);
+
+    Settings m_settings;
+    Metrics m_metrics;
+    EventLoop m_loop;
+    PlatformClient m_platform;
+    std::vector<std::unique_ptr<TrafficThread>> m_traffic;
+    int m_exitCode = 0;
+};
+}
--- /dev/null
+++ b/src/quetzallift/app/log.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "quetzallift/model/logrecord.h"
+
+#include <string>
+
+namespace Quetzallift
+{
+// Prepares glog to write bare lines to standard error.
+void startLog(const char *program);
+
+// Writes a record as one JSON line. Any thread may call it.
+void writeLog(const LogRecord &record, const std::string &host);
+}
--- /dev/null
+++ b/src/quetzallift/app/metrics.cpp
@@ -0,0 +1,81 @@
+#include "quetzallift/app/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+
+namespace Quetzallift
+{
+namespace
+{
+// The name, label and help of a counter on the metrics page.
+struct Description {
+    const char *name;
+    const char *label;
+    const char *help;
+};
+
+const std::map<Metric, Description> &descriptions()
+{
+    static const std::map<Metric, Description> all = {
+        {Metric::Queries, {"quetzallift_queries_total", "back_end", "Queries that arrived"}},
+        {Metric::Answers, {"quetzallift_answers_total", "status", "Answers sent"}},
+        {Metric::SubRequests, {"quetzallift_sub_requests_total", "back_end", "First sub-requests sent"}},
+        {Metric::Hedges, {"quetzallift_hedges_total", "back_end", "Hedges sent"}},
+        {Metric::Retries, {"quetzallift_retries_total", "back_end", "Retries sent"}},
+        {Metric::DroppedReplies, {"quetzallift_dropped_replies_total", "cause", "Replies dropped by identity"}},
+        {Metric::SubRequestFailures, {"quetzallift_sub_request_failures_total", "kind", "Sub-requests that failed"}},
+        {Metric::BundlesAdopted, {"quetzallift_bundles_adopted_total", "", "Bundles adopted"}},
+        {Metric::PlatformCalls, {"quetzallift_platform_calls_total", "outcome", "Calls to the platform"}},
+    };
+    return all;
+}
+
+const prometheus::Histogram::BucketBoundaries &latencyBuckets()
+{
+    static const prometheus::Histogram::BucketBoundaries seconds = {0.001, 0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.07, 0.095, 0.15, 0.25, 0.5, 1, 2.5, 10};
+    return seconds;
+}
+}
+
+struct Metrics::Families {
+    prometheus::Registry registry;
+    std::map<Metric, prometheus::Family<prometheus::Counter> *> counters;
+    prometheus::Histogram *latency = nullptr;
+};
+
+Metrics::Metrics()
+    : m_families(std::make_unique<Families>())
+{
+    for (const auto &[metric, description] : descriptions()) {
+        m_families->counters[metric] = &prometheus::BuildCounter().Name(description.name).Help(description.help).Register(m_families->registry);
+    }
+    auto &latency =
+        prometheus::BuildHistogram().Name("quetzallift_query_latency_seconds").Help("Time from a query's arrival to its answer").Register(m_families->registry);
+    m_families->latency = &latency.Add({}, latencyBuckets());
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::count(const CountMetric &effect)
+{
+    prometheus::Labels labels;
+    if (!effect.label.empty()) {
+        labels[descriptions().at(effect.metric).label] = effect.label;
+    }
+    m_families->counters.at(effect.metric)->Add(labels).Increment(effect.amount);
+}
+
+void Metrics::observeLatency(Duration latency)
+{
+    m_families->latency->Observe(std::chrono::duration<double>(latency).count());
+}
+
+std::string Metrics::page() const
+{
+    return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
+}
+}
--- /dev/null
+++ b/src/quetzallift/app/settings.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "quetzallift/control/controlstate.h"
+
+#include <string>
+
+namespace Quetzallift
+{
+// What an entry host is told at its start.
+struct Settings {
+    HostIdentity host;
+    // The platform's "ip:port".
+    std::string platform;
+};
+
+// Reads a settings file: JSON with comments. Throws Error that names the file, the field's path, its value and what is
+// allowed.
+Settings readSettings(const std::string &file);
+
+// The whole content of a file. Throws Error if it cannot be read.
+std::string readFile(const std::string &file);
+}
--- /dev/null
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -0,0 +1,165 @@
+#include "quetzallift/app/trafficthread.h"
+
+#include "quetzallift/app/log.h"
+#include "quetzallift/app/metrics.h"
+#include "quetzallift/edge/addresscodec.h"
+#include "quetzallift/edge/httperror.h"
+#include "quetzallift/edge/querycodec.h"
+#include "quetzallift/model/error.h"
+
+#include <random>
+
+namespace Quetzallift
+{
+namespace
+{
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusMethodNotAllowed = 405;
+constexpr unsigned StatusUnavailable = 503;
+}
+
+TrafficThread::TrafficThread(unsigned number, const Settings &settings, Metrics &metrics, ControlPost postToControl)
+    : m_number(number)
+    , m_host(settings.host.name)
+    , m_metrics(metrics)
+    , m_postToControl(std::move(postToControl))
+    , m_searchers(m_loop)
+    , m_server(m_loop, settings.host.address, [this](const HttpExchangePtr &exchange) {
+        handleRequest(exchange);
+    })
+{
+    m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
+        return engine();
+    };
+    m_loop.setEffectHandler([this](const Effect &effect) {
+        carryOut(effect);
+    });
+}
+
+TrafficThread::~TrafficThread() = default;
+
+void TrafficThread::start()
+{
+    m_thread = std::thread([this] {
+        m_loop.run();
+    });
+}
+
+void TrafficThread::post(EventBody event)
+{
+    m_loop.post(std::move(event));
+}
+
+void TrafficThread::finish()
+{
+    m_loop.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void TrafficThread::handleRequest(const HttpExchangePtr &exchange)
+{
+    const std::string &path = exchange->path();
+    if (path == "/v1/query") {
+        handleQuery(exchange);
+    } else if (path == "/v1/addresses") {
+        handleAddresses(exchange);
+    } else if (path == "/health") {
+        exchange->respond(StatusOk, R"({"status":"alive"})");
+    } else if (path == "/ready") {
+        handleReady(exchange);
+    } else if (path == "/metrics") {
+        exchange->respond(StatusOk, m_metrics.page(), "text/plain; version=0.0.4");
+    } else {
+        exchange->respond(StatusNotFound, encodeHttpError(Step::Admit, exchange->peer(), "there is no page " + path));
+    }
+}
+
+void TrafficThread::handleQuery(const HttpExchangePtr &exchange)
+{
+    if (exchange->method() != "POST") {
+        exchange->respond(StatusMethodNotAllowed, encodeHttpError(Step::Admit, exchange->peer(), "a query is sent with POST"));
+        return;
+    }
+    QueryRequest request;
+    try {
+        request = decodeQuery(exchange->body(), exchange->peer());
+    } catch (const Error &error) {
+        exchange->respond(StatusBadRequest, encodeHttpError(error.step(), error.peer(), error.what()));
+        return;
+    }
+    const QueryId query{++m_lastQuery};
+    m_waiting[query] = {exchange, Clock::now()};
+    exchange->setClosedHandler([this, query] {
+        m_waiting.erase(query);
+        m_loop.dispatch(QueryAbandoned{query});
+    });
+    m_loop.dispatch(QueryArrived{query, std::move(request)});
+}
+
+void TrafficThread::handleAddresses(const HttpExchangePtr &exchange) const
+{
+    const ControlSnapshotPtr &control = m_loop.state().query.control;
+    if (!control) {
+        exchange->respond(StatusUnavailable, encodeHttpError(Step::Admit, exchange->peer(), "no bundle is in force on this entry host"));
+        return;
+    }
+    exchange->respond(StatusOk, encodeAddresses(*control, exchange->argument("data_centre")));
+}
+
+void TrafficThread::handleReady(const HttpExchangePtr &exchange) const
+{
+    const QueryState &state = m_loop.state().query;
+    const bool ready = state.control && !state.stopping;
+    exchange->respond(ready ? StatusOk : StatusUnavailable, ready ? R"({"ready":true})" : R"({"ready":false})");
+}
+
+void TrafficThread::carryOut(const Effect &effect)
+{
+    if (const auto *send = std::get_if<SendSubRequest>(&effect)) {
+        m_searchers.send(*send);
+    } else if (const auto *cancel = std::get_if<CancelSubRequest>(&effect)) {
+        m_searchers.cancel(*cancel);
+    } else if (const auto *sendAnswer = std::get_if<SendAnswer>(&effect)) {
+        answer(*sendAnswer);
+    } else if (const auto *recorded = std::get_if<SendRecordedAnswer>(&effect)) {
+        answerRecorded(*recorded);
+    } else if (const auto *claim = std::get_if<RequestClaim>(&effect)) {
+        m_postToControl(ClaimRequested{m_number, claim->query, claim->object, claim->fingerprint, claim->timeout});
+    } else if (const auto *record = std::get_if<RecordOutcome>(&effect)) {
+        m_postToControl(OutcomeRecorded{record->object, encodeAnswer(record->answer)});
+    } else if (std::holds_alternative<ReportStopped>(effect)) {
+        m_postToControl(TrafficStopped{m_number});
+    } else if (const auto *log = std::get_if<WriteLog>(&effect)) {
+        writeLog(log->record, m_host);
+    } else if (const auto *metric = std::get_if<CountMetric>(&effect)) {
+        m_metrics.count(*metric);
+    }
+}
+
+void TrafficThread::answer(const SendAnswer &effect)
+{
+    respond(effect.query, httpStatusOf(effect.answer), encodeAnswer(effect.answer));
+}
+
+void TrafficThread::answerRecorded(const SendRecordedAnswer &effect)
+{
+    respond(effect.query, StatusOk, effect.answer);
+}
+
+void TrafficThread::respond(QueryId query, unsigned status, std::string body)
+{
+    const auto found = m_waiting.find(query);
+    if (found == m_waiting.end()) {
+        return;
+    }
+    const Waiting waiting = std::move(found->second);
+    m_waiting.erase(found);
+    m_metrics.observeLatency(Clock::now() - waiting.arrivedAt);
+    waiting.exchange->setClosedHandler(nullptr);
+    waiting.exchange->respond(status, std::move(body));
+}
+}
--- /dev/null
+++ b/src/quetzallift/app/trafficthread.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "quetzallift/app/settings.h"
+#include "quetzallift/edge/eventloop.h"
+#include "quetzallift/edge/httpserver.h"
+#include "quetzallift/edge/searcherclient.h"
+
+#include <functional>
+#include <thread>
+#include <unordered_map>
+
+namespace Quetzallift
+{
+class Metrics;
+
+// One thread that serves callers: its event loop, HTTP server and searcher client.
+class TrafficThread
+{
+public:
+    // Gives an event to the control thread.
+    using ControlPost = std::function<void(EventBody)>;
+
+    TrafficThread(unsigned number, const Settings &settings, Metrics &metrics, ControlPost postToControl);
+    ~TrafficThread();
+    TrafficThread(const TrafficThread &) = delete;
+    TrafficThread &operator=(const TrafficThread &) = delete;
+
+    void start();
+
+    // Gives an event to this thread. Any thread may call it.
+    void post(EventBody event);
+
+    // Ends the loop and waits for the thread.
+    void finish();
+
+private:
+    // A caller that waits for its answer.
+    struct Waiting {
+        HttpExchangePtr exchange;
+        TimePoint arrivedAt;
+    };
+
+    void handleRequest(const HttpExchangePtr &exchange);
+    void handleQuery(const HttpExchangePtr &exchange);
+    void handleAddresses(const HttpExchangePtr &exchange) const;
+    void handleReady(const HttpExchangePtr &exchange) const;
+    void carryOut(const Effect &effect);
+    void answer(const SendAnswer &effect);
+    void answerRecorded(const SendRecordedAnswer &effect);
+    void respond(QueryId query, unsigned status, std::string body);
+
+    unsigned m_number;
+    std::string m_host;
+    Metrics &m_metrics;
+    ControlPost m_postToControl;
+    EventLoop m_loop;
+    SearcherClient m_searchers;
+    HttpServer m_server;
+    std::unordered_map<QueryId, Waiting> m_waiting;
+    std::uint64_t m_lastQuery = 0;
+    std::thread m_thread;
+};
+}
--- /dev/null
+++ b/src/quetzallift/edge/eventloop.cpp
@@ -0,0 +1,125 @@
+#include "quetzallift/edge/eventloop.h"
+
+#include "quetzallift/core/reduce.h"
+#include "quetzallift/edge/acetime.h"
+
+#include <ace/Dev_Poll_Reactor.h>
+
+#include <unordered_map>
+#include <utility>
+
+namespace Quetzallift
+{
+// Calls back when a timer of the reactor runs out. The reactor's timer argument is the key of the callback.
+class EventLoop::Timers : public ACE_Event_Handler
+{
+public:
+    const void *add(std::function<void()> callback)
+    {
+        m_callbacks.emplace(++m_lastKey, std::move(callback));
+        return reinterpret_cast<const void *>(m_lastKey);
+    }
+
+    int handle_timeout(const ACE_Time_Value &, const void *argument) override
+    {
+        auto callback = m_callbacks.extract(reinterpret_cast<std::uintptr_t>(argument));
+        callback.mapped()();
+        return 0;
+    }
+
+private:
+    std::unordered_map<std::uintptr_t, std::function<void()>> m_callbacks;
+    std::uintptr_t m_lastKey = 0;
+};
+
+EventLoop::EventLoop()
+    : m_reactor(std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor, true))
+    , m_timers(std::make_unique<Timers>())
+    , m_mailbox([this](EventBody event) {
+        dispatch(std::move(event));
+    })
+{
+    m_reactor->register_handler(&m_mailbox, ACE_Event_Handler::READ_MASK);
+}
+
+EventLoop::~EventLoop()
+{
+    m_reactor->remove_handler(&m_mailbox, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
+    m_reactor->cancel_timer(m_timers.get());
+}
+
+State &EventLoop::state()
+{
+    return m_state;
+}
+
+const State &EventLoop::state() const
+{
+    return m_state;
+}
+
+ACE_Reactor &EventLoop::reactor()
+{
+    return *m_reactor;
+}
+
+void EventLoop::setEffectHandler(EffectHandler handler)
+{
+    m_effectHandler = std::move(handler);
+}
+
+void EventLoop::dispatch(EventBody event)
+{
+    m_pending.push_back(std::move(event));
+    if (m_applying) {
+        return;
+    }
+    m_applying = true;
+    while (!m_pending.empty()) {
+        EventBody next = std::move(m_pending.front());
+        m_pending.pop_front();
+        apply(std::move(next));
+    }
+    m_applying = false;
+}
+
+void EventLoop::apply(EventBody event)
+{
+    const Effects effects = reduce(m_state, Event{Clock::now(), std::move(event)});
+    for (const Effect &effect : effects) {
+        carryOut(effect);
+    }
+}
+
+void EventLoop::carryOut(const Effect &effect)
+{
+    if (const auto *timer = std::get_if<StartTimer>(&effect)) {
+        callAt(timer->at, [this, key = timer->timer] {
+            dispatch(TimerFired{key});
+        });
+        return;
+    }
+    m_effectHandler(effect);
+}
+
+void EventLoop::post(EventBody event)
+{
+    m_mailbox.post(std::move(event));
+}
+
+void EventLoop::callAt(TimePoint at, std::function<void()> callback)
+{
+    const Duration wait = std::max(at - Clock::now(), Duration::zero());
+    m_reactor->schedule_timer(m_timers.get(), m_timers->add(std::move(callback)), toAceTime(wait));
+}
+
+void EventLoop::run()
+{
+    m_reactor->run_reactor_event_loop();
+}
+
+void EventLoop::stop()
+{
+    m_reactor->end_reactor_event_loop();
+}
+}
--- /dev/null
+++ b/src/quetzallift/edge/httpclient.cpp
@@ -0,0 +1,311 @@
+#include "quetzallift/edge/httpclient.h"
+
+#include "quetzallift/edge/curlhandles.h"
+#include "quetzallift/edge/eventloop.h"
+
+#include <ace/Event_Handler.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+namespace Quetzallift
+{
+namespace
+{
+// Replies beyond this size end the transfer; a searcher's largest useful reply is far smaller.
+constexpr std::size_t MaximumBodySize = 8U * 1024U * 1024U;
+// Idle easy handles kept for reuse, which saves their set-up cost.
+constexpr std::size_t MaximumIdleHandles = 512;
+constexpr long MaximumKeptConnections = 8192;
+
+// One request on its way.
+struct Transfer {
+    TransferId id;
+    CurlEasy easy;
+    CurlHeaders headers;
+    HttpRequest request;
+    HttpResult result;
+    HttpClient::Completion completion;
+    char errorText[CURL_ERROR_SIZE] = {};
+};
+
+std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto &body = static_cast<Transfer *>(context)->result.body;
+    if (body.size() + size * count > MaximumBodySize) {
+        return 0;
+    }
+    body.append(data, size * count);
+    return size * count;
+}
+
+// Keeps the value of the ETag header.
+std::size_t readHeader(char *data, std::size_t size, std::size_t count, void *context)
+{
+    constexpr std::string_view Name = "etag:";
+    const std::string_view line(data, size * count);
+    const bool isEtag = line.size() > Name.size() && std::equal(Name.begin(), Name.end(), line.begin(), [](char expected, char actual) {
+                            return expected == std::tolower(static_cast<unsigned char>(actual));
+                        });
+    if (isEtag) {
+        std::string value(line.substr(Name.size()));
+        std::erase_if(value, [](char c) {
+            return c == '"' || c == ' ' || c == '\r' || c == '\n';
+        });
+        static_cast<Transfer *>(context)->result.etag = std::move(value);
+    }
+    return size * count;
+}
+
+HttpOutcome outcomeOf(CURLcode code)
+{
+    switch (code) {
+    case CURLE_OK:
+        return HttpOutcome::Responded;
+    case CURLE_COULDNT_CONNECT:
+        return HttpOutcome::Refused;
+    case CURLE_OPERATION_TIMEDOUT:
+        return HttpOutcome::TimedOut;
+    default:
+        return HttpOutcome::Reset;
+    }
+}
+
+void configure(Transfer &transfer)
+{
+    CURL *easy = transfer.easy.get();
+    const HttpRequest &request = transfer.request;
+    curl_easy_reset(easy);
+    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    const auto timeout = std::max(std::chrono::ceil<std::chrono::milliseconds>(request.timeout), std::chrono::milliseconds(1));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer.errorText);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &readHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    transfer.headers.add("Expect:");
+    for (const std::string &header : request.headers) {
+        transfer.headers.add(header);
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers.list());
+    if (request.method != "GET") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+    }
+}
+}
+
+// Owns curl's multi handle and its sockets in the reactor.
+class HttpClient::Engine
+{
+public:
+    explicit Engine(EventLoop &loop)
+        : m_loop(loop)
+        , m_multi(curl_multi_init())
+    {
+        curl_multi_setopt(m_multi.get(), CURLMOPT_SOCKETFUNCTION, &Engine::onSocket);
+        curl_multi_setopt(m_multi.get(), CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi.get(), CURLMOPT_TIMERFUNCTION, &Engine::onTimer);
+        curl_multi_setopt(m_multi.get(), CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(m_multi.get(), CURLMOPT_MAXCONNECTS, MaximumKeptConnections);
+    }
+
+    ~Engine()
+    {
+        *m_alive = false;
+        for (auto &[id, transfer] : m_transfers) {
+            curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
+        }
+        m_transfers.clear();
+        m_multi.reset();
+    }
+
+    Engine(const Engine &) = delete;
+    Engine &operator=(const Engine &) = delete;
+
+    TransferId send(HttpRequest request, Completion completion)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->id = TransferId{++m_lastTransfer};
+        transfer->easy = takeEasy();
+        transfer->request = std::move(request);
+        transfer->completion = std::move(completion);
+        configure(*transfer);
+        Transfer &added = *m_transfers.emplace(transfer->id, std::move(transfer)).first->second;
+        curl_multi_add_handle(m_multi.get(), added.easy.get());
+        return added.id;
+    }
+
+    void cancel(TransferId id)
+    {
+        const auto found = m_transfers.find(id);
+        if (found != m_transfers.end()) {
+            remove(found);
+        }
+    }
+
+private:
+    using Transfers = std::unordered_map<TransferId, std::unique_ptr<Transfer>>;
+
+    // Tells curl that one of its sockets is ready.
+    class SocketHandler : public ACE_Event_Handler
+    {
+    public:
+        SocketHandler(Engine &engine, curl_socket_t socket)
+            : m_engine(engine)
+            , m_socket(socket)
+        {
+            reference_counting_policy().value(ACE_Event_Handler::Reference_Counting_Policy::ENABLED);
+        }
+
+        ACE_HANDLE get_handle() const override
+        {
+            return m_socket;
+        }
+
+        int handle_input(ACE_HANDLE) override
+        {
+            m_engine.socketAction(m_socket, CURL_CSELECT_IN);
+            return 0;
+        }
+
+        int handle_output(ACE_HANDLE) override
+        {
+            m_engine.socketAction(m_socket, CURL_CSELECT_OUT);
+            return 0;
+        }
+
+    private:
+        Engine &m_engine;
+        curl_socket_t m_socket;
+    };
+
+    CurlEasy takeEasy()
+    {
+        if (m_idle.empty()) {
+            return CurlEasy(curl_easy_init());
+        }
+        CurlEasy easy = std::move(m_idle.back());
+        m_idle.pop_back();
+        return easy;
+    }
+
+    std::unique_ptr<Transfer> remove(Transfers::iterator found)
+    {
+        std::unique_ptr<Transfer> transfer = std::move(found->second);
+        m_transfers.erase(found);
+        curl_multi_remove_handle(m_multi.get(), transfer->easy.get());
+        if (m_idle.size() < MaximumIdleHandles) {
+            m_idle.push_back(std::move(transfer->easy));
+        }
+        return transfer;
+    }
+
+    void socketAction(curl_socket_t socket, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(m_multi.get(), socket, events, &running);
+        completeTransfers();
+    }
+
+    void completeTransfers()
+    {
+        int left = 0;
+        while (const CURLMsg *message = curl_multi_info_read(m_multi.get(), &left)) {
+            if (message->msg == CURLMSG_DONE) {
+                complete(message->easy_handle, message->data.result);
+            }
+        }
+    }
+
+    void complete(CURL *easy, CURLcode code)
+    {
+        Transfer *transfer = nullptr;
+        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+        HttpResult &result = transfer->result;
+        result.outcome = outcomeOf(code);
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &result.status);
+        long requestSize = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &requestSize);
+        result.sent = requestSize > 0;
+        if (code != CURLE_OK) {
+            result.error = transfer->errorText[0] != '\0' ? transfer->errorText : curl_easy_strerror(code);
+        }
+        const std::unique_ptr<Transfer> done = remove(m_transfers.find(transfer->id));
+        done->completion(std::move(done->result));
+    }
+
+    static int onSocket(CURL *, curl_socket_t socket, int what, void *context, void *)
+    {
+        static_cast<Engine *>(context)->watch(socket, what);
+        return 0;
+    }
+
+    void watch(curl_socket_t socket, int what)
+    {
+        ACE_Reactor &reactor = m_loop.reactor();
+        reactor.remove_handler(socket, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        if (what == CURL_POLL_REMOVE) {
+            return;
+        }
+        ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
+        mask |= (what & CURL_POLL_IN) != 0 ? ACE_Event_Handler::READ_MASK : 0;
+        mask |= (what & CURL_POLL_OUT) != 0 ? ACE_Event_Handler::WRITE_MASK : 0;
+        auto *handler = new SocketHandler(*this, socket);
+        reactor.register_handler(socket, handler, mask);
+        handler->remove_reference();
+    }
+
+    static int onTimer(CURLM *, long timeoutMs, void *context)
+    {
+        static_cast<Engine *>(context)->startTimer(std::chrono::milliseconds(timeoutMs));
+        return 0;
+    }
+
+    // Curl has one timer; setting it again, or to a negative time, replaces the earlier one.
+    void startTimer(std::chrono::milliseconds wait)
+    {
+        const std::uint64_t number = ++m_timer;
+        if (wait.count() < 0) {
+            return;
+        }
+        m_loop.callAt(Clock::now() + wait, [this, number, alive = m_alive] {
+            if (*alive && number == m_timer) {
+                socketAction(CURL_SOCKET_TIMEOUT, 0);
+            }
+        });
+    }
+
+    EventLoop &m_loop;
+    CurlMulti m_multi;
+    Transfers m_transfers;
+    std::vector<CurlEasy> m_idle;
+    std::uint64_t m_lastTransfer = 0;
+    std::uint64_t m_timer = 0;
+    // False once the engine is gone, for timers that are still set.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+HttpClient::HttpClient(EventLoop &loop)
+    : m_engine(std::make_unique<Engine>(loop))
+{ }
+
+HttpClient::~HttpClient() = default;
+
+TransferId HttpClient::send(HttpRequest request, Completion completion)
+{
+    return m_engine->send(std::move(request), std::move(completion));
+}
+
+void HttpClient::cancel(TransferId transfer)
+{
+    m_engine->cancel(transfer);
+}
+}
--- /dev/null
+++ b/src/quetzallift/edge/httpclient.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "quetzallift/model/ids.h"
+#include "quetzallift/model/time.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Quetzallift
+{
+class EventLoop;
+
+// A request that HttpClient sends.
+struct HttpRequest {
+    std::string method = "GET";
+    std::string url;
+    std::string body;
+    // Lines of the form "Name: value".
+    std::vector<std::string> headers;
+    Duration timeout = std::chrono::seconds(1);
+};
+
+enum class HttpOutcome {
+    // A complete response arrived, whatever its status.
+    Responded,
+    Refused,
+    Reset,
+    TimedOut,
+};
+
+// How a request ended.
+struct HttpResult {
+    HttpOutcome outcome = HttpOutcome::Reset;
+    long status = 0;
+    std::string body;
+    // The ETag header without its quotes, if there was one.
+    std::string etag;
+    std::string error;
+    // False only if no byte of the request was sent.
+    bool sent = true;
+};
+
+using TransferId = detail::Id<struct TransferIdTag>;
+
+// Sends HTTP requests over kept connections: libcurl's multi interface driven by the reactor of one thread.
+class HttpClient
+{
+public:
+    using Completion = std::function<void(HttpResult)>;
+
+    explicit HttpClient(EventLoop &loop);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    // Sends a request; the completion is called once, unless the transfer is cancelled first.
+    TransferId send(HttpRequest request, Completion completion);
+
+    // Closes the connection of a transfer that has not ended. Unknown transfers are ignored.
+    void cancel(TransferId transfer);
+
+private:
+    class Engine;
+    std::unique_ptr<Engine> m_engine;
+};
+}
--- /dev/null
+++ b/src/quetzallift/edge/httpexchange.cpp
@@ -0,0 +1,93 @@
+#include "quetzallift/edge/httpexchange.h"
+
+#include "quetzallift/edge/socketaddress.h"
+
+#include <microhttpd.h>
+
+#include <utility>
+
+namespace Quetzallift
+{
+namespace
+{
+MHD_Result collectArgument(void *context, MHD_ValueKind, const char *name, const char *value)
+{
+    auto &arguments = *static_cast<std::map<std::string, std::string> *>(context);
+    arguments[name] = value != nullptr ? value : "";
+    return MHD_YES;
+}
+}
+
+HttpExchange::HttpExchange(MHD_Connection *connection, std::string method, std::string path)
+    : m_connection(connection)
+    , m_method(std::move(method))
+    , m_path(std::move(path))
+{
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectArgument, &m_arguments);
+    const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (info != nullptr) {
+        m_peer = formatAddress(*info->client_addr);
+    }
+}
+
+const std::string &HttpExchange::method() const
+{
+    return m_method;
+}
+
+const std::string &HttpExchange::path() const
+{
+    return m_path;
+}
+
+const std::string &HttpExchange::body() const
+{
+    return m_body;
+}
+
+const std::string &HttpExchange::peer() const
+{
+    return m_peer;
+}
+
+std::string HttpExchange::argument(const std::string &name) const
+{
+    const auto found = m_arguments.find(name);
+    return found == m_arguments.end() ? std::string() : found->second;
+}
+
+std::string HttpExchange::header(const std::string &name) const
+{
+    if (m_connection == nullptr) {
+        return {};
+    }
+    const char *value = MHD_lookup_connection_value(m_connection, MHD_HEADER_KIND, name.c_str());
+    return value != nullptr ? value : "";
+}
+
+void HttpExchange::respond(unsigned status, std::string body, const std::string &contentType)
+{
+    if (m_responded || m_connection == nullptr) {
+        return;
+    }
+    m_responded = true;
+    m_status = status;
+    m_response = std::move(body);
+    m_headers["Content-Type"] = contentType;
+    if (m_suspended.is_linked()) {
+        m_suspended.unlink();
+        MHD_resume_connection(m_connection);
+        m_continue();
+    }
+}
+
+void HttpExchange::addHeader(std::string name, std::string value)
+{
+    m_headers[std::move(name)] = std::move(value);
+}
+
+void HttpExchange::setClosedHandler(std::function<void()> handler)
+{
+    m_closedHandler = std::move(handler);
+}
+}
--- /dev/null
+++ b/src/quetzallift/edge/httpexchange.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+struct MHD_Connection;
+
+namespace Quetzallift
+{
+// One request to an HttpServer and its response. Used on the server's thread only.
+class HttpExchange : public boost::intrusive_ref_counter<HttpExchange, boost::thread_unsafe_counter>
+{
+public:
+    HttpExchange(MHD_Connection *connection, std::string method, std::string path);
+
+    const std::string &method() const;
+    const std::string &path() const;
+    const std::string &body() const;
+
+    // The address from which the request came, as "ip:port".
+    const std::string &peer() const;
+
+    // The value of an argument of the URL, or empty.
+    std::string argument(const std::string &name) const;
+
+    // The value of a header of the request, or empty. Only before the request is answered.
+    std::string header(const std::string &name) const;
+
+    // Sends the response. A second call, or one after the connection closed, does nothing.
+    void respond(unsigned status, std::string body, const std::string &contentType = "application/json");
+
+    // Adds a header to the response; to be called before respond().
+    void addHeader(std::string name, std::string value);
+
+    // Sets what is called if the connection closes before the response was sent.
+    void setClosedHandler(std::function<void()> handler);
+
+private:
+    friend class HttpServerCallbacks;
+
+    using Hook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+    MHD_Connection *m_connection;
+    std::string m_method;
+    std::string m_path;
+    std::string m_peer;
+    std::string m_body;
+    std::map<std::string, std::string> m_arguments;
+    std::map<std::string, std::string> m_headers;
+    std::function<void()> m_closedHandler;
+    // Makes the server continue with this connection after it was resumed.
+    std::function<void()> m_continue;
+    bool m_tooLarge = false;
+    bool m_handled = false;
+    // Linked while the connection waits for the response.
+    Hook m_suspended;
+    bool m_responded = false;
+    unsigned m_status = 0;
+    std::string m_response;
+};
+
+using HttpExchangePtr = boost::intrusive_ptr<HttpExchange>;
+}
--- /dev/null
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -0,0 +1,245 @@
+#include "quetzallift/edge/httpserver.h"
+
+#include "quetzallift/edge/eventloop.h"
+#include "quetzallift/edge/socketaddress.h"
+#include "quetzallift/model/error.h"
+
+#include <ace/Event_Handler.h>
+#include <microhttpd.h>
+
+#include <unistd.h>
+
+#include <utility>
+
+namespace Quetzallift
+{
+namespace
+{
+// A query or a bundle part is far smaller.
+constexpr std::size_t MaximumBodySize = 1024U * 1024U;
+constexpr unsigned IdleTimeoutSeconds = 120;
+}
+
+// The callbacks of libmicrohttpd for one server.
+class HttpServerCallbacks
+{
+public:
+    HttpServerCallbacks(HttpServer::Handler handler, std::function<void()> scheduleWork)
+        : m_handler(std::move(handler))
+        , m_scheduleWork(std::move(scheduleWork))
+    { }
+
+    // Closes the connections that wait for a response; libmicrohttpd cannot stop with suspended ones.
+    void closeSuspended()
+    {
+        while (!m_suspended.empty()) {
+            m_suspended.front().respond(MHD_HTTP_SERVICE_UNAVAILABLE, R"({"error":"the process ends","step":"stop"})");
+        }
+    }
+
+    static MHD_Result onRequest(void *context,
+                                MHD_Connection *connection,
+                                const char *url,
+                                const char *method,
+                                const char *,
+                                const char *uploadData,
+                                std::size_t *uploadSize,
+                                void **slot)
+    {
+        auto *exchange = static_cast<HttpExchange *>(*slot);
+        if (exchange == nullptr) {
+            exchange = new HttpExchange(connection, method, url);
+            intrusive_ptr_add_ref(exchange);
+            *slot = exchange;
+            return MHD_YES;
+        }
+        if (*uploadSize > 0) {
+            appendUpload(*exchange, uploadData, *uploadSize);
+            *uploadSize = 0;
+            return MHD_YES;
+        }
+        auto *self = static_cast<HttpServerCallbacks *>(context);
+        if (!exchange->m_handled) {
+            self->handle(*exchange);
+        }
+        return exchange->m_responded ? queueResponse(*exchange) : self->suspend(*exchange);
+    }
+
+    static void onCompleted(void *, MHD_Connection *, void **slot, MHD_RequestTerminationCode)
+    {
+        auto *exchange = static_cast<HttpExchange *>(*slot);
+        *slot = nullptr;
+        if (exchange == nullptr) {
+            return;
+        }
+        exchange->m_connection = nullptr;
+        if (!exchange->m_responded && exchange->m_closedHandler) {
+            exchange->m_closedHandler();
+        }
+        exchange->m_closedHandler = nullptr;
+        intrusive_ptr_release(exchange);
+    }
+
+private:
+    static void appendUpload(HttpExchange &exchange, const char *data, std::size_t size)
+    {
+        exchange.m_tooLarge = exchange.m_tooLarge || exchange.m_body.size() + size > MaximumBodySize;
+        if (!exchange.m_tooLarge) {
+            exchange.m_body.append(data, size);
+        }
+    }
+
+    void handle(HttpExchange &exchange)
+    {
+        exchange.m_handled = true;
+        if (exchange.m_tooLarge) {
+            exchange.respond(MHD_HTTP_CONTENT_TOO_LARGE, R"({"error":"the body exceeds 1 MiB","step":"admit"})");
+            return;
+        }
+        m_handler(HttpExchangePtr(&exchange));
+    }
+
+    MHD_Result suspend(HttpExchange &exchange)
+    {
+        m_suspended.push_back(exchange);
+        exchange.m_continue = m_scheduleWork;
+        MHD_suspend_connection(exchange.m_connection);
+        return MHD_YES;
+    }
+
+    static MHD_Result queueResponse(HttpExchange &exchange)
+    {
+        MHD_Response *response = MHD_create_response_from_buffer(exchange.m_response.size(), exchange.m_response.data(), MHD_RESPMEM_MUST_COPY);
+        for (const auto &[name, value] : exchange.m_headers) {
+            MHD_add_response_header(response, name.c_str(), value.c_str());
+        }
+        const MHD_Result result = MHD_queue_response(exchange.m_connection, exchange.m_status, response);
+        MHD_destroy_response(response);
+        return result;
+    }
+
+    using SuspendedList = boost::intrusive::list<HttpExchange,
+                                                 boost::intrusive::member_hook<HttpExchange, HttpExchange::Hook, &HttpExchange::m_suspended>,
+                                                 boost::intrusive::constant_time_size<false>>;
+
+    HttpServer::Handler m_handler;
+    std::function<void()> m_scheduleWork;
+    SuspendedList m_suspended;
+};
+
+// Registers the daemon's epoll descriptor in the reactor.
+class HttpServer::Daemon : public ACE_Event_Handler
+{
+public:
+    Daemon(EventLoop &loop, const std::string &address, Handler handler)
+        : m_loop(loop)
+        , m_callbacks(std::move(handler), [this] {
+            workAt(Clock::now());
+        })
+    {
+        const sockaddr_in socketAddress = parseAddress(address);
+        m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
+                                    0,
+                                    nullptr,
+                                    nullptr,
+                                    &HttpServerCallbacks::onRequest,
+                                    &m_callbacks,
+                                    MHD_OPTION_SOCK_ADDR,
+                                    &socketAddress,
+                                    MHD_OPTION_LISTENING_ADDRESS_REUSE,
+                                    1U,
+                                    MHD_OPTION_LISTEN_BACKLOG_SIZE,
+                                    1024U,
+                                    MHD_OPTION_CONNECTION_TIMEOUT,
+                                    IdleTimeoutSeconds,
+                                    MHD_OPTION_NOTIFY_COMPLETED,
+                                    &HttpServerCallbacks::onCompleted,
+                                    nullptr,
+                                    MHD_OPTION_END);
+        if (m_daemon == nullptr) {
+            throw Error(Step::Settings, address, "cannot listen on this address");
+        }
+        m_handle = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+        m_loop.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
+    }
+
+    ~Daemon() override
+    {
+        *m_alive = false;
+        m_loop.reactor().remove_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
+        stopListening();
+        m_callbacks.closeSuspended();
+        MHD_run(m_daemon);
+        MHD_stop_daemon(m_daemon);
+    }
+
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    void stopListening()
+    {
+        const MHD_socket listening = MHD_quiesce_daemon(m_daemon);
+        if (listening != MHD_INVALID_SOCKET) {
+            close(listening);
+        }
+    }
+
+    ACE_HANDLE get_handle() const override
+    {
+        return m_handle;
+    }
+
+    int handle_input(ACE_HANDLE) override
+    {
+        work();
+        return 0;
+    }
+
+private:
+    // Lets the daemon work, and again at the time it asks for: its descriptor is edge-triggered inside, so that work
+    // left over does not wake the reactor.
+    void work()
+    {
+        MHD_run(m_daemon);
+        MHD_UNSIGNED_LONG_LONG waitMs = 0;
+        if (MHD_get_timeout(m_daemon, &waitMs) == MHD_YES) {
+            workAt(Clock::now() + std::chrono::milliseconds(waitMs));
+        }
+    }
+
+    // Lets the daemon work at the given time, unless it will earlier.
+    void workAt(TimePoint at)
+    {
+        if (m_timerSet && m_timerAt <= at) {
+            return;
+        }
+        m_timerSet = true;
+        m_timerAt = at;
+        m_loop.callAt(at, [this, at, alive = m_alive] {
+            if (*alive && m_timerSet && m_timerAt == at) {
+                m_timerSet = false;
+                work();
+            }
+        });
+    }
+
+    EventLoop &m_loop;
+    HttpServerCallbacks m_callbacks;
+    MHD_Daemon *m_daemon = nullptr;
+    ACE_HANDLE m_handle = ACE_INVALID_HANDLE;
+    bool m_timerSet = false;
+    TimePoint m_timerAt;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+HttpServer::HttpServer(EventLoop &loop, const std::string &address, Handler handler)
+    : m_daemon(std::make_unique<Daemon>(loop, address, std::move(handler)))
+{ }
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::stopListening()
+{
+    m_daemon->stopListening();
+}
+}
--- /dev/null
+++ b/src/quetzallift/edge/platformcodec.cpp
@@ -0,0 +1,113 @@
+#include "quetzallift/edge/platformcodec.h"
+
+#include "quetzallift/edge/bundlecodec.h"
+#include "quetzallift/edge/jsonfields.h"
+#include "quetzallift/model/error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Quetzallift
+{
+namespace
+{
+nlohmann::json encode(const std::monostate &)
+{
+    return nlohmann::json::object();
+}
+
+nlohmann::json encode(const RolloutRecord &record)
+{
+    return {
+        {"generation", record.generation.value},
+        {"digest", record.digest},
+        {"token", record.token},
+        {"operator", record.operatorName},
+    };
+}
+
+nlohmann::json encode(const ClaimRecord &record)
+{
+    return {
+        {"token", record.token},
+        {"host", record.host},
+        {"fingerprint", record.fingerprint},
+        {"finished", record.finished},
+        {"answer", record.answer},
+    };
+}
+
+nlohmann::json encode(const BundlePtr &)
+{
+    throw Error(Step::Prepare, "platform", "an entry host does not write bundles");
+}
+
+nlohmann::json encode(const HostListRecord &)
+{
+    throw Error(Step::Join, "platform", "the host list is the platform's own");
+}
+
+RolloutRecord decodeRollout(JsonFields fields)
+{
+    RolloutRecord record;
+    record.generation.value = fields.integer("generation", 1, UINT64_MAX);
+    record.digest = fields.text("digest");
+    record.token = fields.text("token");
+    record.operatorName = fields.text("operator", std::string());
+    return record;
+}
+
+ClaimRecord decodeClaim(JsonFields fields)
+{
+    constexpr std::size_t MaximumAnswer = 1024U * 1024U;
+    ClaimRecord record;
+    record.token = fields.text("token");
+    record.host = fields.text("host");
+    record.fingerprint = fields.text("fingerprint", std::string(), MaximumAnswer);
+    record.finished = fields.flag("finished", false);
+    record.answer = fields.text("answer", std::string(), MaximumAnswer);
+    return record;
+}
+}
+
+std::string encodePlatformValue(const PlatformValue &value)
+{
+    return std::visit(
+        [](const auto &record) {
+            return encode(record).dump();
+        },
+        value);
+}
+
+PlatformValue decodePlatformValue(const std::string &object, const std::string &body)
+{
+    const nlohmann::json document = parseJson(body, Step::Watch, object);
+    if (object == "rollout") {
+        return decodeRollout(JsonFields(document, Step::Watch, object));
+    }
+    if (object.starts_with("bundle/")) {
+        return decodeBundle(document, object);
+    }
+    if (object.starts_with("claim/")) {
+        return decodeClaim(JsonFields(document, Step::Claim, object));
+    }
+    return {};
+}
+
+HostListRecord decodeHostList(const std::string &body)
+{
+    const std::string source = "host list";
+    const nlohmann::json document = parseJson(body, Step::Join, source);
+    JsonFields fields(document, Step::Join, source);
+    HostListRecord record;
+    for (JsonFields &item : fields.objects("hosts")) {
+        ListedHost host;
+        host.name = item.text("name");
+        host.address = item.text("address");
+        host.peerAddress = item.text("peer_address", std::string());
+        host.dataCentre = item.text("data_centre", std::string());
+        host.leaving = item.choice("state", {"live", "leaving"}, "live") == "leaving";
+        record.hosts.push_back(std::move(host));
+    }
+    return record;
+}
+}
--- /dev/null
+++ b/src/quetzallift/edge/platformcodec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "quetzallift/model/platform.h"
+
+#include <string>
+
+namespace Quetzallift
+{
+// Writes an object's value as the platform stores it.
+std::string encodePlatformValue(const PlatformValue &value);
+
+// Reads an object's value by the kind that its name tells ("rollout", "bundle/...", "claim/..."). Throws Error that names
+// the object and the field.
+PlatformValue decodePlatformValue(const std::string &object, const std::string &body);
+
+// Reads the platform's host list.
+HostListRecord decodeHostList(const std::string &body);
+}
--- /dev/null
+++ b/src/quetzallift/edge/searchcodec.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "quetzallift/model/subrequest.h"
+
+#include <string>
+
+namespace Quetzallift
+{
+// Writes the JSON body of a sub-request. The deadline goes out as the time left at now.
+std::string encodeSubRequest(const SubRequest &request, AttemptId attempt, TimePoint now);
+
+// Reads the JSON body of a searcher's reply. Throws Error that names the searcher and the field.
+SubReply decodeSubReply(const std::string &body, const std::string &searcher);
+}
--- /dev/null
+++ b/src/quetzallift/edge/searcherclient.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "quetzallift/edge/httpclient.h"
+#include "quetzallift/query/effects.h"
+
+#include <unordered_map>
+
+namespace Quetzallift
+{
+class EventLoop;
+
+// Carries out SendSubRequest and CancelSubRequest, and turns what comes back into events of the loop.
+class SearcherClient
+{
+public:
+    explicit SearcherClient(EventLoop &loop);
+
+    void send(const SendSubRequest &effect);
+    void cancel(const CancelSubRequest &effect);
+
+private:
+    void complete(AttemptId attempt, const std::string &searcher, const HttpResult &result);
+
+    EventLoop &m_loop;
+    HttpClient m_http;
+    std::unordered_map<AttemptId, TransferId> m_transfers;
+};
+}
