Give replica choice and connection accounting one module

Cause: scatter, gather and finish each kept the number of sub-requests in flight themselves. Change: query/searcherpool chooses replicas, starts attempts and learns from replies, failures and cancellations.

--- a/src/quetzallift/query/finish.cpp
+++ b/src/quetzallift/query/finish.cpp
@@ -2,6 +2,7 @@
 
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/handlers.h"
+#include "quetzallift/query/searcherpool.h"
 
 #include <algorithm>
 #include <iterator>
@@ -93,9 +94,9 @@
     QueryState &state = context.state.query;
     for (const AttemptId attempt : progress.waiting) {
         const auto found = state.attempts.find(attempt);
-        SearcherView &view = state.searchers[found->second.searcher];
-        view.inFlight -= std::min(view.inFlight, 1U);
+        const Attempt cancelled = std::move(found->second);
         state.attempts.erase(found);
+        noteCancelled(context, cancelled);
         context.emit(CancelSubRequest{attempt});
     }
     progress.waiting.clear();
--- a/src/quetzallift/query/gather.cpp
+++ b/src/quetzallift/query/gather.cpp
@@ -4,6 +4,7 @@
 #include "quetzallift/query/finish.h"
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/scatter.h"
+#include "quetzallift/query/searcherpool.h"
 
 #include <algorithm>
 
@@ -16,8 +17,6 @@
 {
     Attempt attempt = std::move(found->second);
     state.attempts.erase(found);
-    SearcherView &view = state.searchers[attempt.searcher];
-    view.inFlight -= std::min(view.inFlight, 1U);
     return attempt;
 }
 
@@ -46,7 +45,7 @@
     return FailureKind::BadReply;
 }
 
-void noteFailure(ReduceContext &context, RunningQuery &query, std::size_t shardIndex, Failure failure)
+void retryOrGiveUp(ReduceContext &context, RunningQuery &query, std::size_t shardIndex, Failure failure)
 {
     context.emit(CountMetric{Metric::SubRequestFailures, toString(failure.kind)});
     ShardProgress &progress = query.shards[shardIndex];
@@ -64,13 +63,6 @@
     ++query.shardsCovered;
     cancelWaiting(context, progress);
 }
-
-void observe(SearcherView &view, const SubReply &reply)
-{
-    view.oldestSnapshot = std::max(view.oldestSnapshot, reply.oldestSnapshot);
-    view.newestSnapshot = std::max(view.newestSnapshot, reply.newestSnapshot);
-    view.draining = reply.leaving || reply.status == SubReplyStatus::Draining;
-}
 }
 
 void answerIfComplete(ReduceContext &context, RunningQuery &query)
@@ -94,16 +86,15 @@
     const Attempt attempt = takeAttempt(state, found);
     RunningQuery &query = state.queries.at(attempt.query);
     query.shards[attempt.shardIndex].waiting.erase(event.attempt);
+    noteReply(context, attempt, event.reply);
     if (!matches(query, attempt, event)) {
         context.emit(CountMetric{Metric::DroppedReplies, "foreign"});
-        noteFailure(context, query, attempt.shardIndex, Failure{Step::Gather, attempt.searcher, FailureKind::BadReply, "the reply has another identity"});
+        retryOrGiveUp(context, query, attempt.shardIndex, Failure{Step::Gather, attempt.searcher, FailureKind::BadReply, "the reply has another identity"});
     } else if (event.reply.status != SubReplyStatus::Ok) {
-        observe(state.searchers[attempt.searcher], event.reply);
-        noteFailure(context, query, attempt.shardIndex, Failure{Step::Wait, attempt.searcher, failureOf(event.reply.status), {}});
+        retryOrGiveUp(context, query, attempt.shardIndex, Failure{Step::Wait, attempt.searcher, failureOf(event.reply.status), {}});
     } else if (event.reply.truncated) {
-        noteFailure(context, query, attempt.shardIndex, Failure{Step::Gather, attempt.searcher, FailureKind::Truncated, "the reply is truncated"});
+        retryOrGiveUp(context, query, attempt.shardIndex, Failure{Step::Gather, attempt.searcher, FailureKind::Truncated, "the reply is truncated"});
     } else {
-        observe(state.searchers[attempt.searcher], event.reply);
         cover(context, query, attempt.shardIndex, event.reply);
     }
     answerIfComplete(context, query);
@@ -119,7 +110,8 @@
     const Attempt attempt = takeAttempt(state, found);
     RunningQuery &query = state.queries.at(attempt.query);
     query.shards[attempt.shardIndex].waiting.erase(event.attempt);
-    noteFailure(context, query, attempt.shardIndex, event.failure);
+    noteFailure(context, attempt, event.failure);
+    retryOrGiveUp(context, query, attempt.shardIndex, event.failure);
     answerIfComplete(context, query);
 }
 }
