Count service levels into fixed windows kept in the platform

Cause: objectives need counts that survive hosts that come and go, without a control host. Change: the reducer counts every answer by back end and caller against the bundle's objective; each host writes totals of 5 min and 1 h windows into burn/<host> by conditional update once a minute. Totals make a repeated write harmless; a run token stops a replaced process from writing on. A lost host loses at most the last minute of its counts.

--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -14,6 +14,7 @@
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
     };
+    m_loop.state().hooks.wallNow = &std::chrono::system_clock::now;
     m_loop.setEffectHandler([this](const Effect &effect) {
         carryOut(effect);
     });
--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -131,6 +131,8 @@
         m_postToControl(ClaimRequested{m_number, claim->query, claim->object, claim->fingerprint, claim->timeout});
     } else if (const auto *record = std::get_if<RecordOutcome>(&effect)) {
         m_postToControl(OutcomeRecorded{record->object, encodeAnswer(record->answer)});
+    } else if (const auto *service = std::get_if<ReportService>(&effect)) {
+        m_postToControl(ServiceReported{service->table});
     } else if (std::holds_alternative<ReportStopped>(effect)) {
         m_postToControl(TrafficStopped{m_number});
     } else if (const auto *log = std::get_if<WriteLog>(&effect)) {
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/control/burn.h"
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/platform.h"
 
@@ -30,6 +31,8 @@
     CreateClaim,
     ReadClaim,
     RecordOutcome,
+    ReadBurn,
+    WriteBurn,
 };
 
 // A claim that is being made.
@@ -65,6 +68,7 @@
     std::uint64_t lastClaim = 0;
     // Versions of the claim objects that this host holds.
     std::unordered_map<std::string, std::pair<std::uint64_t, ClaimRecord>> heldClaims;
+    BurnState burn;
     bool stopping = false;
     std::set<unsigned> stoppedThreads;
 };
--- a/src/quetzallift/control/events.h
+++ b/src/quetzallift/control/events.h
@@ -3,6 +3,7 @@
 #include "quetzallift/core/timerkey.h"
 #include "quetzallift/model/ids.h"
 #include "quetzallift/model/platform.h"
+#include "quetzallift/model/servicecounts.h"
 
 #include <string>
 
@@ -34,6 +35,11 @@
     std::string answer;
 };
 
+// A traffic thread counted its service.
+struct ServiceReported {
+    ServiceTable table;
+};
+
 // A traffic thread has no query left after a stop was requested.
 struct TrafficStopped {
     unsigned thread = 0;
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -1,3 +1,4 @@
+#include "quetzallift/control/burn.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/hostlist.h"
 #include "quetzallift/control/publish.h"
@@ -11,6 +12,7 @@
     context.state.control.active = true;
     followRollout(context);
     readHostList(context);
+    startBurn(context);
 }
 
 void handleControlTimer(ReduceContext &context, const TimerKey &timer)
@@ -22,6 +24,9 @@
     case TimerKind::HostListPoll:
         readHostList(context);
         break;
+    case TimerKind::BurnWrite:
+        syncBurn(context);
+        break;
     case TimerKind::StopLimit:
         context.emit(WriteLog{{LogLevel::Error, Step::Stop, {}, {}, "the stop limit ran out with queries still running"}});
         context.emit(Exit{1});
--- a/src/quetzallift/control/platformcalls.cpp
+++ b/src/quetzallift/control/platformcalls.cpp
@@ -1,5 +1,6 @@
 #include "quetzallift/control/platformcalls.h"
 
+#include "quetzallift/control/burn.h"
 #include "quetzallift/control/claims.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/hostlist.h"
@@ -64,6 +65,12 @@
     case PlatformPurpose::ReadClaim:
         handleClaimRead(context, call.claim, event.reply);
         break;
+    case PlatformPurpose::ReadBurn:
+        handleBurnRead(context, event.reply);
+        break;
+    case PlatformPurpose::WriteBurn:
+        handleBurnWritten(context, event.reply);
+        break;
     case PlatformPurpose::RecordOutcome:
         break;
     }
--- a/src/quetzallift/core/event.h
+++ b/src/quetzallift/core/event.h
@@ -27,6 +27,7 @@
                                ClaimRequested,
                                OutcomeRecorded,
                                TrafficStopped,
+                               ServiceReported,
                                StopRequested,
                                TimerFired>;
 
--- a/src/quetzallift/core/hooks.h
+++ b/src/quetzallift/core/hooks.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "quetzallift/model/time.h"
+
 #include <cstdint>
 #include <functional>
 
@@ -11,5 +13,10 @@
     std::function<std::uint64_t()> random = [] {
         return std::uint64_t{0};
     };
+
+    // The wall-clock time, for what other machines and people read. No decision about a query depends on it.
+    std::function<WallTime()> wallNow = [] {
+        return WallTime();
+    };
 };
 }
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -1,8 +1,10 @@
 #include "quetzallift/core/reduce.h"
 
+#include "quetzallift/control/burn.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/handlers.h"
+#include "quetzallift/query/servicecounting.h"
 
 namespace Quetzallift
 {
@@ -19,8 +21,12 @@
     case TimerKind::PlatformRetry:
     case TimerKind::HostListPoll:
     case TimerKind::StopLimit:
+    case TimerKind::BurnWrite:
         handleControlTimer(context, event.timer);
         break;
+    case TimerKind::ServiceReport:
+        reportService(context);
+        break;
     }
 }
 
@@ -39,6 +45,7 @@
 
     void operator()(const QueryArrived &event)
     {
+        openService(context, event);
         handleQueryArrived(context, event);
     }
     void operator()(const QueryAbandoned &event)
@@ -81,6 +88,10 @@
     {
         handleTrafficStopped(context, event);
     }
+    void operator()(const ServiceReported &event)
+    {
+        handleServiceReported(context, event);
+    }
     void operator()(const StopRequested &)
     {
         handleStop(context);
@@ -97,6 +108,7 @@
     Effects effects;
     ReduceContext context{state, event.at, effects};
     std::visit(Dispatcher{context}, event.body);
+    countService(context);
     return effects;
 }
 }
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -10,6 +10,8 @@
     PlatformRetry,
     HostListPoll,
     StopLimit,
+    ServiceReport,
+    BurnWrite,
 };
 
 // Names a timer. A timer that no longer matters is not cancelled: its handler finds nothing to do.
--- a/src/quetzallift/edge/platformcodec.cpp
+++ b/src/quetzallift/edge/platformcodec.cpp
@@ -1,6 +1,7 @@
 #include "quetzallift/edge/platformcodec.h"
 
 #include "quetzallift/edge/bundlecodec.h"
+#include "quetzallift/edge/burncodec.h"
 #include "quetzallift/edge/jsonfields.h"
 #include "quetzallift/model/error.h"
 
@@ -36,6 +37,11 @@
     };
 }
 
+nlohmann::json encode(const BurnRecord &record)
+{
+    return encodeBurn(record);
+}
+
 nlohmann::json encode(const BundlePtr &)
 {
     throw Error(Step::Prepare, "platform", "an entry host does not write bundles");
@@ -90,6 +96,9 @@
     if (object.starts_with("claim/")) {
         return decodeClaim(JsonFields(document, Step::Claim, object));
     }
+    if (object.starts_with("burn/")) {
+        return decodeBurn(document, object);
+    }
     return {};
 }
 
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quetzallift/model/bundle.h"
+#include "quetzallift/model/burnrecord.h"
 #include "quetzallift/model/ids.h"
 #include "quetzallift/model/time.h"
 
@@ -46,7 +47,7 @@
 };
 
 // The decoded value of an object; monostate if there is none.
-using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord>;
+using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, BurnRecord>;
 
 enum class PlatformVerb {
     Read,
--- /dev/null
+++ b/src/quetzallift/model/servicecounts.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Quetzallift
+{
+// Whose service is counted. The caller is empty for counts that belong to a back end as a whole.
+struct ServiceKey {
+    std::string backEnd;
+    std::string caller;
+
+    auto operator<=>(const ServiceKey &) const = default;
+};
+
+// What one back end did for one caller during some time.
+struct ServiceCounts {
+    std::uint64_t answers = 0;
+    // Answers later than the objective's latency.
+    std::uint64_t slow = 0;
+    // Answers that cover less than the objective's coverage.
+    std::uint64_t uncovered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t subRequests = 0;
+    // Hedges and retries.
+    std::uint64_t extraSubRequests = 0;
+    // Missing shards by searcher and by shard id, each with a bounded number of entries.
+    std::map<std::string, std::uint64_t> missingBySearcher;
+    std::map<std::uint64_t, std::uint64_t> missingByShard;
+
+    // Adds the counts of another time or host.
+    void add(const ServiceCounts &other);
+};
+
+using ServiceTable = std::map<ServiceKey, ServiceCounts>;
+
+// Adds every entry of a table to another.
+void addTo(ServiceTable &table, const ServiceTable &other);
+}
--- a/src/quetzallift/query/arrive.cpp
+++ b/src/quetzallift/query/arrive.cpp
@@ -79,6 +79,9 @@
 void handleControlSnapshot(ReduceContext &context, const ControlSnapshotPublished &event)
 {
     context.state.query.control = event.snapshot;
+    if (!context.state.query.service.reporting) {
+        reportService(context);
+    }
 }
 
 void handleQueryTimer(ReduceContext &context, const TimerKey &timer)
--- a/src/quetzallift/query/effects.h
+++ b/src/quetzallift/query/effects.h
@@ -3,6 +3,7 @@
 #include "quetzallift/model/ids.h"
 #include "quetzallift/model/metric.h"
 #include "quetzallift/model/queryanswer.h"
+#include "quetzallift/model/servicecounts.h"
 #include "quetzallift/model/subrequest.h"
 
 #include <string>
@@ -47,6 +48,11 @@
     QueryAnswer answer;
 };
 
+// Gives the control thread what was counted since the last report.
+struct ReportService {
+    ServiceTable table;
+};
+
 // Tells the control thread that no query is left.
 struct ReportStopped {
 };
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -3,6 +3,7 @@
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/query/runningquery.h"
 #include "quetzallift/query/searcherview.h"
+#include "quetzallift/query/servicecounting.h"
 
 #include <string>
 #include <unordered_map>
@@ -25,6 +26,7 @@
     // What this thread has observed of each searcher, by address.
     std::unordered_map<std::string, SearcherView> searchers;
     std::uint64_t lastAttempt = 0;
+    ServiceState service;
     bool stopping = false;
     bool stopReported = false;
 };
