Report the burn of service-level budgets as text, JSON and HTML

Cause: operators need to see which objective burns, how fast, and where. Change: report/ works out multi-window burn rates, the budget left and the searchers, data centres and shards that were missing; report burn renders them from the platform's burn objects. A span covers its closed windows and the open one, since the open one alone may have just begun: without that a window boundary hid 200 slow answers of 1,000 from the page alert.

--- a/src/quetzallift/app/commands.h
+++ b/src/quetzallift/app/commands.h
@@ -13,4 +13,5 @@
 int serveCommand(int argc, const char **argv);
 int settingsCommand(int argc, const char **argv);
 int queryCommand(int argc, const char **argv);
+int reportCommand(int argc, const char **argv);
 }
--- a/src/quetzallift/app/main.cpp
+++ b/src/quetzallift/app/main.cpp
@@ -19,6 +19,7 @@
   serve --settings FILE    run an entry host
   settings check FILE      check a settings file
   query [OPTIONS]          send one query as a caller would
+  report burn [OPTIONS]    show how fast service-level budgets are used up
   version                  print the version
 
 COMMAND --help lists the options of a command.
@@ -37,6 +38,7 @@
         {"serve", &Quetzallift::serveCommand},
         {"settings", &Quetzallift::settingsCommand},
         {"query", &Quetzallift::queryCommand},
+        {"report", &Quetzallift::reportCommand},
         {"version", &versionCommand},
     };
     return all;
--- a/src/quetzallift/app/querycommand.cpp
+++ b/src/quetzallift/app/querycommand.cpp
@@ -1,6 +1,6 @@
+#include "quetzallift/app/blockingcall.h"
 #include "quetzallift/app/commands.h"
 #include "quetzallift/app/options.h"
-#include "quetzallift/edge/curlhandles.h"
 #include "quetzallift/edge/jsonfields.h"
 #include "quetzallift/model/error.h"
 
@@ -8,7 +8,6 @@
 
 #include <cstdlib>
 #include <iostream>
-#include <memory>
 #include <random>
 #include <sstream>
 
@@ -19,50 +18,11 @@
 // Time on top of a query's deadline for the way there and back.
 constexpr std::chrono::milliseconds Margin{2000};
 
-using OwnedText = std::unique_ptr<char, decltype(&std::free)>;
-
-struct HttpAnswer {
-    long status = 0;
-    std::string body;
-};
-
-std::size_t append(char *data, std::size_t size, std::size_t count, void *context)
-{
-    static_cast<std::string *>(context)->append(data, size * count);
-    return size * count;
-}
-
-// One blocking call; an empty body means GET. Throws Error if there is no response.
-HttpAnswer call(const std::string &peer, const std::string &path, const std::string &body, std::chrono::milliseconds timeout)
-{
-    const CurlEasy easy(curl_easy_init());
-    HttpAnswer answer;
-    CurlHeaders headers;
-    headers.add("Content-Type: application/json");
-    const std::string url = "http://" + peer + path;
-    curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
-    curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
-    curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
-    curl_easy_setopt(easy.get(), CURLOPT_WRITEFUNCTION, &append);
-    curl_easy_setopt(easy.get(), CURLOPT_WRITEDATA, &answer.body);
-    if (!body.empty()) {
-        curl_easy_setopt(easy.get(), CURLOPT_HTTPHEADER, headers.list());
-        curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.c_str());
-    }
-    const CURLcode code = curl_easy_perform(easy.get());
-    if (code != CURLE_OK) {
-        throw Error(Step::Connect, peer, curl_easy_strerror(code));
-    }
-    curl_easy_getinfo(easy.get(), CURLINFO_RESPONSE_CODE, &answer.status);
-    return answer;
-}
-
 // The entry hosts to use, nearest first, as the host that was asked tells.
 std::vector<std::string> askAddresses(const std::string &host, const std::string &dataCentre)
 {
     constexpr long StatusOk = 200;
-    const HttpAnswer answer = call(host, "/v1/addresses?data_centre=" + dataCentre, {}, Margin);
+    const CallResponse answer = call({host, "/v1/addresses?data_centre=" + dataCentre});
     const nlohmann::json document = parseJson(answer.body, Step::Plan, host);
     if (answer.status != StatusOk) {
         throw Error(Step::Plan, host, document.value("error", answer.body));
@@ -187,7 +147,7 @@
     const Options options(argc, argv, table, "--hosts IP:PORT,... --caller NAME --back-end NAME --key KEY|--text TEXT");
     const std::vector<std::string> hosts = findEntryHosts(splitHosts(textOr(arguments.hosts, "")), textOr(arguments.dataCentre, ""));
     const auto timeout = std::chrono::milliseconds(static_cast<long>(arguments.deadlineMs)) + Margin;
-    const HttpAnswer answer = call(hosts.at(0), "/v1/query", makeBody(arguments).dump(), timeout);
+    const CallResponse answer = call({hosts.at(0), "/v1/query", "POST", makeBody(arguments).dump(), {"Content-Type: application/json"}, timeout});
     for (char *text : {arguments.hosts, arguments.caller, arguments.backEnd, arguments.key, arguments.text, arguments.request, arguments.dataCentre}) {
         std::free(text);
     }
--- a/src/quetzallift/model/burnrecord.h
+++ b/src/quetzallift/model/burnrecord.h
@@ -14,8 +14,9 @@
 // budget of the last days.
 constexpr std::chrono::minutes ShortWindow{5};
 constexpr std::chrono::hours LongWindow{1};
-constexpr std::size_t ShortWindowsKept = 72;
-constexpr std::size_t LongWindowsKept = 72;
+// 6 hours and 3 days of closed windows, and the open one.
+constexpr std::size_t ShortWindowsKept = 73;
+constexpr std::size_t LongWindowsKept = 73;
 
 using WindowIndex = std::int64_t;
 
--- /dev/null
+++ b/src/quetzallift/report/burnreport.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "quetzallift/model/bundle.h"
+#include "quetzallift/model/burnrecord.h"
+#include "quetzallift/report/indicator.h"
+
+#include <string>
+#include <vector>
+
+namespace Quetzallift
+{
+// A place that answers were missing, and how often.
+struct BurnCause {
+    std::string name;
+    std::uint64_t missing = 0;
+};
+
+// The share of bad answers in each short window, oldest first; the chart of the report.
+struct BurnHistory {
+    std::vector<double> slow;
+    std::vector<double> uncovered;
+    std::vector<double> refused;
+};
+
+// One back end for one caller.
+struct ServiceReport {
+    ServiceKey key;
+    Objective objective;
+    ServiceCounts counts;
+    std::vector<IndicatorReport> indicators;
+    BurnHistory history;
+};
+
+// Sub-requests of a back end beyond the first for each shard, and where shards were missing.
+struct BackEndReport {
+    std::string backEnd;
+    std::uint64_t subRequests = 0;
+    double extraLoad = 0.0;
+    std::vector<BurnCause> searchers;
+    std::vector<BurnCause> dataCentres;
+    std::vector<BurnCause> shards;
+};
+
+// A host whose last write is older than two write periods: what it counted since is not in the report.
+struct SilentHost {
+    std::string host;
+    std::chrono::seconds silentFor{};
+};
+
+struct BurnReport {
+    WallTime at;
+    std::size_t hosts = 0;
+    std::vector<SilentHost> silentHosts;
+    // Most urgent first.
+    std::vector<ServiceReport> services;
+    std::vector<BackEndReport> backEnds;
+    // Answers to callers or back ends that the bundle does not have.
+    std::uint64_t unknownService = 0;
+};
+
+// Works out the burn of every objective from the records of all hosts. The multi-window, multi-burn-rate alerts follow
+// chapter 5 of "The Site Reliability Workbook" (O'Reilly, 2018).
+BurnReport makeBurnReport(const std::vector<BurnRecord> &records, const Bundle &bundle, WallTime now);
+}
