Add the messages between entry hosts and their codec

Hosts need typed messages for membership, generations and connection shares before the transport can carry them. This adds model/peermessage.h, the effect SendPeerMessage, the events PeerMessageArrived and PeerUnreachable, the object "shares", and their CBOR and JSON codecs. The handlers are empty so far.

The codec tests pass: headers and statements survive a round trip, and a message cut at any byte is an error that names the peer.

--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -32,7 +32,7 @@
         thread->start();
     }
     writeLog({LogLevel::Info, Step::Join, m_settings.host.address, {}, "serving"}, m_settings.host.name);
-    m_loop.dispatch(Started{});
+    m_loop.dispatch(Started{std::chrono::system_clock::now()});
     m_loop.run();
     for (const auto &thread : m_traffic) {
         thread->finish();
--- a/src/quetzallift/control/effects.h
+++ b/src/quetzallift/control/effects.h
@@ -2,6 +2,7 @@
 
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/ids.h"
+#include "quetzallift/model/peermessage.h"
 #include "quetzallift/model/platform.h"
 #include "quetzallift/query/events.h"
 
@@ -28,6 +29,12 @@
 struct StopTraffic {
 };
 
+// Sends a message to the peer at that address; PeerUnreachable may follow.
+struct SendPeerMessage {
+    std::string address;
+    PeerMessage message;
+};
+
 // Ends the process.
 struct Exit {
     int code = 0;
--- a/src/quetzallift/control/events.h
+++ b/src/quetzallift/control/events.h
@@ -2,6 +2,7 @@
 
 #include "quetzallift/core/timerkey.h"
 #include "quetzallift/model/ids.h"
+#include "quetzallift/model/peermessage.h"
 #include "quetzallift/model/platform.h"
 
 #include <string>
@@ -10,6 +11,8 @@
 {
 // The process is up and its settings are known.
 struct Started {
+    // Orders this process among those that ran under the same name before.
+    WallTime wallTime;
 };
 
 // The platform answered a call, or the call failed.
@@ -34,6 +37,17 @@
     std::string answer;
 };
 
+// A peer sent a message.
+struct PeerMessageArrived {
+    std::string from;
+    PeerMessage message;
+};
+
+// A message to a peer could not be delivered.
+struct PeerUnreachable {
+    std::string address;
+};
+
 // A traffic thread has no query left after a stop was requested.
 struct TrafficStopped {
     unsigned thread = 0;
--- a/src/quetzallift/control/handlers.h
+++ b/src/quetzallift/control/handlers.h
@@ -6,8 +6,14 @@
 {
 struct ReduceContext;
 
-// Starts to read the rollout and the host list.
-void startControl(ReduceContext &context);
+// Joins the fleet and starts to read the rollout and the host list.
+void startControl(ReduceContext &context, const Started &event);
+
+// Learns from a peer's message and answers it.
+void handlePeerMessage(ReduceContext &context, const PeerMessageArrived &event);
+
+// Treats a probe of that peer as unanswered.
+void handlePeerUnreachable(ReduceContext &context, const PeerUnreachable &event);
 
 // Routes a platform reply to the handler of the call's purpose.
 void handlePlatformReplied(ReduceContext &context, const PlatformReplied &event);
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -6,7 +6,7 @@
 
 namespace Quetzallift
 {
-void startControl(ReduceContext &context)
+void startControl(ReduceContext &context, const Started &)
 {
     context.state.control.active = true;
     followRollout(context);
--- a/src/quetzallift/core/event.h
+++ b/src/quetzallift/core/event.h
@@ -26,6 +26,8 @@
                                PlatformReplied,
                                ClaimRequested,
                                OutcomeRecorded,
+                               PeerMessageArrived,
+                               PeerUnreachable,
                                TrafficStopped,
                                StopRequested,
                                TimerFired>;
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -61,9 +61,9 @@
     {
         handleClaimSettled(context, event);
     }
-    void operator()(const Started &)
+    void operator()(const Started &event)
     {
-        startControl(context);
+        startControl(context, event);
     }
     void operator()(const PlatformReplied &event)
     {
@@ -77,6 +77,14 @@
     {
         handleOutcomeRecorded(context, event);
     }
+    void operator()(const PeerMessageArrived &event)
+    {
+        handlePeerMessage(context, event);
+    }
+    void operator()(const PeerUnreachable &event)
+    {
+        handlePeerUnreachable(context, event);
+    }
     void operator()(const TrafficStopped &event)
     {
         handleTrafficStopped(context, event);
--- /dev/null
+++ b/src/quetzallift/edge/peercodec.cpp
@@ -0,0 +1,273 @@
+#include "quetzallift/edge/peercodec.h"
+
+#include "quetzallift/edge/bundlecodec.h"
+#include "quetzallift/edge/jsonfields.h"
+#include "quetzallift/edge/platformcodec.h"
+#include "quetzallift/edge/sharescodec.h"
+#include "quetzallift/model/error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Quetzallift
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr std::size_t MaximumName = 256;
+constexpr std::uint64_t MaximumBuckets = 4096;
+
+// A statement is an array, which takes less than half the bytes of an object with names. Addresses are left out of
+// statements that hosts which do not know the subject have no use for.
+json encode(const MemberUpdate &update)
+{
+    json fields = {update.name, update.incarnation.process, update.incarnation.refutation, static_cast<unsigned>(update.status), update.stopped};
+    if (!update.peerAddress.empty()) {
+        fields.push_back(update.address);
+        fields.push_back(update.peerAddress);
+        fields.push_back(update.dataCentre);
+    }
+    return fields;
+}
+
+json encode(const std::vector<MemberUpdate> &updates)
+{
+    json list = json::array();
+    for (const MemberUpdate &update : updates) {
+        list.push_back(encode(update));
+    }
+    return list;
+}
+
+// Writes the kind and the fields of a message's body.
+struct BodyEncoder {
+    json &fields;
+
+    void operator()(const Probe &body) const
+    {
+        fields["kind"] = "probe";
+        fields["n"] = body.number;
+    }
+    void operator()(const ProbeReply &body) const
+    {
+        fields["kind"] = "probe_reply";
+        fields["n"] = body.number;
+        fields["subject"] = body.subject;
+    }
+    void operator()(const IndirectProbe &body) const
+    {
+        fields["kind"] = "indirect_probe";
+        fields["n"] = body.number;
+        fields["subject"] = body.subject;
+        fields["peer_address"] = body.peerAddress;
+    }
+    void operator()(const Announcement &body) const
+    {
+        fields["kind"] = "announcement";
+        fields["reply_wanted"] = body.replyWanted;
+    }
+    void operator()(const BundleRequest &) const
+    {
+        fields["kind"] = "bundle_request";
+    }
+    void operator()(const BundleReply &body) const
+    {
+        fields["kind"] = "bundle_reply";
+        fields["rollout"] = encodePlatformValue(body.rollout);
+        fields["bundle"] = body.bundle ? body.bundle->content : std::string();
+    }
+    void operator()(const SharesRequest &) const
+    {
+        fields["kind"] = "shares_request";
+    }
+    void operator()(const SharesReply &body) const
+    {
+        fields["kind"] = "shares_reply";
+        fields["shares"] = encodeShares(body.shares);
+    }
+    void operator()(const SyncRequest &body) const
+    {
+        fields["kind"] = "sync_request";
+        fields["buckets"] = body.buckets;
+    }
+    void operator()(const SyncReply &body) const
+    {
+        fields["kind"] = "sync_reply";
+        fields["members"] = encode(body.members);
+        fields["more"] = body.more;
+    }
+};
+
+// Reads messages of one peer; every error names that peer.
+class Decoder
+{
+public:
+    Decoder(const json &document, const std::string &peer)
+        : m_fields(document, Step::PassOn, peer)
+        , m_peer(peer)
+    { }
+
+    PeerMessage message()
+    {
+        PeerMessage message;
+        message.sender.self = update(m_fields.value("self"), "self");
+        message.sender.generation.value = m_fields.integer("generation", 0, UINT64_MAX);
+        message.sender.sharesEpoch = m_fields.integer("shares_epoch", 0, UINT64_MAX);
+        message.updates = updates("updates");
+        message.body = body();
+        m_fields.rejectUnknown();
+        return message;
+    }
+
+private:
+    [[noreturn]] void fail(const std::string &detail) const
+    {
+        throw Error(Step::PassOn, m_peer, detail);
+    }
+
+    MemberUpdate update(const json &fields, const std::string &name) const
+    {
+        constexpr std::size_t Short = 5;
+        constexpr std::size_t Long = 8;
+        if (!fields.is_array() || (fields.size() != Short && fields.size() != Long)) {
+            fail(name + " is not a statement of 5 or 8 fields");
+        }
+        MemberUpdate update;
+        try {
+            update.name = fields[0].get<std::string>();
+            update.incarnation = {fields[1].get<std::uint64_t>(), fields[2].get<std::uint64_t>()};
+            const auto status = fields[3].get<unsigned>();
+            if (update.name.empty() || update.name.size() > MaximumName || status > static_cast<unsigned>(MemberStatus::Gone)) {
+                fail(name + " has a bad name or status");
+            }
+            update.status = static_cast<MemberStatus>(status);
+            update.stopped = fields[4].get<bool>();
+            if (fields.size() == Long) {
+                update.address = fields[5].get<std::string>();
+                update.peerAddress = fields[6].get<std::string>();
+                update.dataCentre = fields[7].get<std::string>();
+            }
+        } catch (const json::exception &error) {
+            fail(name + " has a field of another type: " + error.what());
+        }
+        return update;
+    }
+
+    std::vector<MemberUpdate> updates(const std::string &name)
+    {
+        const json &list = m_fields.value(name);
+        if (!list.is_array()) {
+            fail(name + " is not a list");
+        }
+        std::vector<MemberUpdate> updates;
+        for (const json &item : list) {
+            updates.push_back(update(item, name));
+        }
+        return updates;
+    }
+
+    SyncRequest syncRequest()
+    {
+        const json &list = m_fields.value("buckets");
+        if (!list.is_array() || list.size() > MaximumBuckets) {
+            fail("buckets is not a list of at most 4096 hashes");
+        }
+        SyncRequest body;
+        for (const json &hash : list) {
+            if (!hash.is_number_unsigned()) {
+                fail("buckets holds something that is not a hash");
+            }
+            body.buckets.push_back(hash.get<std::uint32_t>());
+        }
+        return body;
+    }
+
+    BundleReply bundleReply()
+    {
+        BundleReply body;
+        const PlatformValue rollout = decodePlatformValue("rollout", m_fields.text("rollout", MaximumPeerMessage));
+        body.rollout = std::get<RolloutRecord>(rollout);
+        body.bundle = decodeBundle(parseJson(m_fields.text("bundle", MaximumPeerMessage), Step::PassOn, m_peer), m_peer);
+        return body;
+    }
+
+    IndirectProbe indirectProbe()
+    {
+        IndirectProbe body;
+        body.number = m_fields.integer("n", 0, UINT64_MAX);
+        body.subject = m_fields.text("subject", MaximumName);
+        body.peerAddress = m_fields.text("peer_address", MaximumName);
+        return body;
+    }
+
+    PeerMessageBody body()
+    {
+        const std::string kind = m_fields.text("kind", MaximumName);
+        if (kind == "probe") {
+            return Probe{m_fields.integer("n", 0, UINT64_MAX)};
+        }
+        if (kind == "probe_reply") {
+            const std::uint64_t number = m_fields.integer("n", 0, UINT64_MAX);
+            return ProbeReply{number, m_fields.text("subject", MaximumName)};
+        }
+        if (kind == "indirect_probe") {
+            return indirectProbe();
+        }
+        if (kind == "announcement") {
+            return Announcement{m_fields.flag("reply_wanted", false)};
+        }
+        if (kind == "bundle_request") {
+            return BundleRequest{};
+        }
+        if (kind == "bundle_reply") {
+            return bundleReply();
+        }
+        if (kind == "shares_request") {
+            return SharesRequest{};
+        }
+        if (kind == "shares_reply") {
+            return SharesReply{decodeShares(m_fields.value("shares"), m_peer)};
+        }
+        if (kind == "sync_request") {
+            return syncRequest();
+        }
+        if (kind == "sync_reply") {
+            std::vector<MemberUpdate> members = updates("members");
+            return SyncReply{std::move(members), m_fields.flag("more", false)};
+        }
+        fail("kind is " + kind + "; allowed: the kinds of docs/protocol.md");
+    }
+
+    JsonFields m_fields;
+    std::string m_peer;
+};
+}
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    json document = {
+        {"self", encode(message.sender.self)},
+        {"generation", message.sender.generation.value},
+        {"shares_epoch", message.sender.sharesEpoch},
+        {"updates", encode(message.updates)},
+    };
+    std::visit(BodyEncoder{document}, message.body);
+    std::string bytes;
+    json::to_cbor(document, bytes);
+    return bytes;
+}
+
+PeerMessage decodePeerMessage(std::string_view bytes, const std::string &peer)
+{
+    if (bytes.size() > MaximumPeerMessage) {
+        throw Error(Step::PassOn, peer, "a message of " + std::to_string(bytes.size()) + " bytes is longer than allowed");
+    }
+    json document;
+    try {
+        document = json::from_cbor(bytes.begin(), bytes.end());
+    } catch (const json::exception &error) {
+        throw Error(Step::PassOn, peer, std::string("the message is not CBOR: ") + error.what());
+    }
+    return Decoder(document, peer).message();
+}
+}
--- a/src/quetzallift/edge/platformcodec.cpp
+++ b/src/quetzallift/edge/platformcodec.cpp
@@ -2,6 +2,7 @@
 
 #include "quetzallift/edge/bundlecodec.h"
 #include "quetzallift/edge/jsonfields.h"
+#include "quetzallift/edge/sharescodec.h"
 #include "quetzallift/model/error.h"
 
 #include <nlohmann/json.hpp>
@@ -46,6 +47,11 @@
     throw Error(Step::Join, "platform", "the host list is the platform's own");
 }
 
+nlohmann::json encode(const SharesRecord &record)
+{
+    return encodeShares(record);
+}
+
 RolloutRecord decodeRollout(JsonFields fields)
 {
     RolloutRecord record;
@@ -87,6 +93,9 @@
     if (object.starts_with("bundle/")) {
         return decodeBundle(document, object);
     }
+    if (object == "shares") {
+        return decodeShares(document, object);
+    }
     if (object.starts_with("claim/")) {
         return decodeClaim(JsonFields(document, Step::Claim, object));
     }
--- a/src/quetzallift/model/bundle.h
+++ b/src/quetzallift/model/bundle.h
@@ -33,6 +33,8 @@
 // One immutable configuration, named by the digest of its content.
 struct Bundle : RefCounted<Bundle> {
     std::string digest;
+    // The content in canonical form, which peers pass on.
+    std::string content;
     std::string author;
     std::string comment;
     std::map<std::string, BackEnd> backEnds;
--- /dev/null
+++ b/src/quetzallift/model/peermessage.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "quetzallift/model/memberupdate.h"
+#include "quetzallift/model/platform.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Quetzallift
+{
+// Who sends a message and how far it has come; part of every message.
+struct PeerSender {
+    MemberUpdate self;
+    Generation generation;
+    // The epoch of connection shares that the sender follows; this acknowledges it.
+    std::uint64_t sharesEpoch = 0;
+};
+
+// Asks whether the receiver is alive.
+struct Probe {
+    std::uint64_t number = 0;
+};
+
+// Answers a probe. The subject differs from the sender if a helper passes on the answer to an indirect probe.
+struct ProbeReply {
+    std::uint64_t number = 0;
+    std::string subject;
+};
+
+// Asks the receiver to probe a third host and to pass on its answer.
+struct IndirectProbe {
+    std::uint64_t number = 0;
+    std::string subject;
+    std::string peerAddress;
+};
+
+// Tells what the header says: a new generation, a new epoch of shares or a changed status of the sender.
+struct Announcement {
+    bool replyWanted = false;
+};
+
+// Asks for the rollout and bundle in force at the sender of a higher generation.
+struct BundleRequest {
+};
+
+struct BundleReply {
+    RolloutRecord rollout;
+    BundlePtr bundle;
+};
+
+// Asks for the newest division of connections.
+struct SharesRequest {
+};
+
+struct SharesReply {
+    SharesRecord shares;
+};
+
+// Compares membership tables by one hash for each bucket of names.
+struct SyncRequest {
+    std::vector<std::uint32_t> buckets;
+};
+
+// Brings what the replier knows in buckets that differ.
+struct SyncReply {
+    std::vector<MemberUpdate> members;
+    // True if more buckets differ than fit into one reply.
+    bool more = false;
+};
+
+using PeerMessageBody =
+    std::variant<Probe, ProbeReply, IndirectProbe, Announcement, BundleRequest, BundleReply, SharesRequest, SharesReply, SyncRequest, SyncReply>;
+
+// One message between entry hosts.
+struct PeerMessage {
+    PeerSender sender;
+    // Statements about other hosts that ride along.
+    std::vector<MemberUpdate> updates;
+    PeerMessageBody body;
+};
+}
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -2,6 +2,7 @@
 
 #include "quetzallift/model/bundle.h"
 #include "quetzallift/model/ids.h"
+#include "quetzallift/model/sharesrecord.h"
 #include "quetzallift/model/time.h"
 
 #include <cstdint>
@@ -46,7 +47,7 @@
 };
 
 // The decoded value of an object; monostate if there is none.
-using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord>;
+using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, SharesRecord>;
 
 enum class PlatformVerb {
     Read,
--- /dev/null
+++ b/tests/edge/peercodec_test.cpp
@@ -0,0 +1,61 @@
+#include "quetzallift/edge/peercodec.h"
+#include "quetzallift/model/error.h"
+
+#include <criterion/criterion.h>
+
+using namespace Quetzallift;
+
+namespace
+{
+PeerMessage sampleMessage(PeerMessageBody body)
+{
+    PeerMessage message;
+    message.sender.self = {"kingston-1", {7, 2}, MemberStatus::Live, false, "10.0.0.1:80", "10.0.0.1:81", "kingston-a"};
+    message.sender.generation.value = 9;
+    message.sender.sharesEpoch = 4;
+    message.updates.push_back({"ocho-1", {8, 0}, MemberStatus::Gone, true, {}, {}, {}});
+    message.body = std::move(body);
+    return message;
+}
+
+PeerMessage roundTrip(PeerMessageBody body)
+{
+    return decodePeerMessage(encodePeerMessage(sampleMessage(std::move(body))), "10.0.0.1:81");
+}
+}
+
+// Guards against a field of the header or of a statement that is lost on the way, such as an acknowledged epoch.
+Test(peercodec, headerAndStatementsSurvive)
+{
+    const PeerMessage message = roundTrip(ProbeReply{3, "waco-1"});
+    cr_assert_eq(message.sender.generation.value, 9U);
+    cr_assert_eq(message.sender.sharesEpoch, 4U);
+    cr_assert_eq(message.sender.self.incarnation.refutation, 2U);
+    cr_assert(message.sender.self.peerAddress == "10.0.0.1:81");
+    cr_assert(message.updates.at(0).status == MemberStatus::Gone && message.updates.at(0).stopped);
+    cr_assert(std::get<ProbeReply>(message.body).subject == "waco-1");
+}
+
+// Guards against a division of connections that arrives without the earlier ones that still bind its reader.
+Test(peercodec, sharesKeepEarlierEpochs)
+{
+    const SharesRecord record{{2, {{"a", 5, 1}}}, {{1, {{"a", 5, 1}, {"b", 6, 1}}}}};
+    const PeerMessage message = roundTrip(SharesReply{record});
+    const SharesRecord &read = std::get<SharesReply>(message.body).shares;
+    cr_assert(read.current.hosts == record.current.hosts);
+    cr_assert(read.earlier.at(0).hosts == record.earlier.at(0).hosts);
+}
+
+// Guards against a broken peer that stops the control thread.
+Test(peercodec, brokenBytesAreAnError)
+{
+    const std::string bytes = encodePeerMessage(sampleMessage(SyncRequest{{1, 2}}));
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        try {
+            decodePeerMessage(bytes.substr(0, length), "10.0.0.1:81");
+            cr_assert_fail("a message cut at %zu bytes was accepted", length);
+        } catch (const Error &error) {
+            cr_assert(error.peer() == "10.0.0.1:81");
+        }
+    }
+}
