--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -14,6 +14,7 @@
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
     };
+    m_loop.state().hooks.wallNow = &std::chrono::system_clock::now;
     m_loop.setEffectHandler([this](const Effect &effect) {
         carryOut(effect);
     });
@@ -32,7 +33,7 @@
         thread->start();
     }
     writeLog({LogLevel::Info, Step::Join, m_settings.host.address, {}, "serving"}, m_settings.host.name);
-    m_loop.dispatch(Started{std::chrono::system_clock::now()});
+    m_loop.dispatch(Started{});
     m_loop.run();
     for (const auto &thread : m_traffic) {
         thread->finish();
--- a/src/quetzallift/control/events.h
+++ b/src/quetzallift/control/events.h
@@ -4,6 +4,7 @@
 #include "quetzallift/model/ids.h"
 #include "quetzallift/model/peermessage.h"
 #include "quetzallift/model/platform.h"
+#include "quetzallift/model/servicecounts.h"
 
 #include <string>
 
@@ -11,8 +12,6 @@
 {
 // The process is up and its settings are known.
 struct Started {
-    // Orders this process among those that ran under the same name before.
-    WallTime wallTime;
 };
 
 // The platform answered a call, or the call failed.
@@ -48,6 +47,11 @@
     std::string address;
 };
 
+// A traffic thread counted its service.
+struct ServiceReported {
+    ServiceTable table;
+};
+
 // A traffic thread has no query left after a stop was requested.
 struct TrafficStopped {
     unsigned thread = 0;
--- a/src/quetzallift/control/handlers.h
+++ b/src/quetzallift/control/handlers.h
@@ -7,7 +7,7 @@
 struct ReduceContext;
 
 // Joins the fleet and starts to read the rollout and the host list.
-void startControl(ReduceContext &context, const Started &event);
+void startControl(ReduceContext &context);
 
 // Learns from a peer's message and answers it.
 void handlePeerMessage(ReduceContext &context, const PeerMessageArrived &event);
--- a/src/quetzallift/core/event.h
+++ b/src/quetzallift/core/event.h
@@ -29,6 +29,7 @@
                                PeerMessageArrived,
                                PeerUnreachable,
                                TrafficStopped,
+                               ServiceReported,
                                StopRequested,
                                TimerFired>;
 
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quetzallift/model/bundle.h"
+#include "quetzallift/model/burnrecord.h"
 #include "quetzallift/model/ids.h"
 #include "quetzallift/model/sharesrecord.h"
 #include "quetzallift/model/time.h"
@@ -47,7 +48,7 @@
 };
 
 // The decoded value of an object; monostate if there is none.
-using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, SharesRecord>;
+using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, BurnRecord, SharesRecord>;
 
 enum class PlatformVerb {
     Read,
