--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -84,6 +84,14 @@
     {
         handleOutcomeRecorded(context, event);
     }
+    void operator()(const PeerMessageArrived &event)
+    {
+        handlePeerMessage(context, event);
+    }
+    void operator()(const PeerUnreachable &event)
+    {
+        handlePeerUnreachable(context, event);
+    }
     void operator()(const TrafficStopped &event)
     {
         handleTrafficStopped(context, event);
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -3,6 +3,7 @@
 #include "quetzallift/model/bundle.h"
 #include "quetzallift/model/burnrecord.h"
 #include "quetzallift/model/ids.h"
+#include "quetzallift/model/sharesrecord.h"
 #include "quetzallift/model/time.h"
 
 #include <cstdint>
@@ -47,7 +48,7 @@
 };
 
 // The decoded value of an object; monostate if there is none.
-using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, BurnRecord>;
+using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, BurnRecord, SharesRecord>;
 
 enum class PlatformVerb {
     Read,
