Offer rollouts from any source to one adoption rule

Cause: adoption was part of the reply of a platform read; a failed bundle read started a second watch, and nothing checked an approval. Change: offerRollout adopts a higher generation after verification by digest and by the hook refusalOf, whatever the source. The rollout object carries the approval, the time and up to 32 past generations. Failed reads back off exponentially with full jitter, bundles apart from the rollout.

--- a/src/quetzallift/app/metrics.cpp
+++ b/src/quetzallift/app/metrics.cpp
@@ -29,6 +29,7 @@
         {Metric::DroppedReplies, {"quetzallift_dropped_replies_total", "cause", "Replies dropped by identity"}},
         {Metric::SubRequestFailures, {"quetzallift_sub_request_failures_total", "kind", "Sub-requests that failed"}},
         {Metric::BundlesAdopted, {"quetzallift_bundles_adopted_total", "", "Bundles adopted"}},
+        {Metric::BundlesRefused, {"quetzallift_bundles_refused_total", "source", "Bundles refused by verification"}},
         {Metric::PlatformCalls, {"quetzallift_platform_calls_total", "outcome", "Calls to the platform"}},
     };
     return all;
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -54,9 +54,17 @@
     HostIdentity self;
     Generation generation;
     BundlePtr bundle;
+    // The rollout that is in force, and since when.
+    RolloutRecord rollout;
+    TimePoint adoptedAt;
     // The rollout whose bundle is being read.
     RolloutRecord wanted;
     std::uint64_t rolloutVersion = 0;
+    // The rollout that verification refused last; it is logged once.
+    RolloutRecord refused;
+    // Failures in a row, from which the wait before the next try follows.
+    unsigned rolloutFailures = 0;
+    unsigned bundleFailures = 0;
     HostListRecord hostList;
     std::uint64_t addressesVersion = 0;
     std::unordered_map<PlatformCallId, PendingCall> calls;
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -19,6 +19,9 @@
     case TimerKind::PlatformRetry:
         followRollout(context);
         break;
+    case TimerKind::BundleRetry:
+        readWantedBundle(context);
+        break;
     case TimerKind::HostListPoll:
         readHostList(context);
         break;
--- a/src/quetzallift/control/platformcalls.cpp
+++ b/src/quetzallift/control/platformcalls.cpp
@@ -6,6 +6,8 @@
 #include "quetzallift/control/rollout.h"
 #include "quetzallift/core/reducecontext.h"
 
+#include <algorithm>
+
 namespace Quetzallift
 {
 namespace
@@ -37,6 +39,15 @@
     return Duration(static_cast<Duration::rep>(context.state.hooks.random() % static_cast<std::uint64_t>(limit.count() + 1)));
 }
 
+Duration backoff(ReduceContext &context, unsigned failures)
+{
+    constexpr Duration First = std::chrono::milliseconds(250);
+    // Long enough that a fleet that waits for the platform does not overload it when it returns.
+    constexpr Duration Longest = std::chrono::seconds(10);
+    constexpr unsigned MaximumDoublings = 6;
+    return jitter(context, std::min(Longest, First * (1U << std::min(failures, MaximumDoublings))));
+}
+
 void handlePlatformReplied(ReduceContext &context, const PlatformReplied &event)
 {
     ControlState &state = context.state.control;
--- a/src/quetzallift/control/platformcalls.h
+++ b/src/quetzallift/control/platformcalls.h
@@ -11,4 +11,7 @@
 
 // Random draw of a wait before the next try, up to the given limit (full jitter).
 Duration jitter(ReduceContext &context, Duration limit);
+
+// Random wait before the next try after the given number of failures in a row: exponential backoff with full jitter.
+Duration backoff(ReduceContext &context, unsigned failures);
 }
--- a/src/quetzallift/control/rollout.cpp
+++ b/src/quetzallift/control/rollout.cpp
@@ -10,19 +10,59 @@
 {
 // The platform answers a watch at the latest after this time.
 constexpr Duration WatchTimeout = std::chrono::seconds(30);
-// Longest wait before the platform is tried again.
-constexpr Duration RetryLimit = std::chrono::seconds(1);
+// Longest wait before a rollout object that does not exist yet is looked for again.
+constexpr Duration AbsentLimit = std::chrono::seconds(1);
+const std::string Platform = "platform";
 
-void retryLater(ReduceContext &context)
+// Verification by content and by approval. Returns why the bundle is refused, or nothing.
+std::string refusalOf(const ReduceContext &context, const RolloutRecord &rollout, const Bundle &bundle)
 {
-    context.emit(StartTimer{{TimerKind::PlatformRetry, 0}, context.now + jitter(context, RetryLimit)});
+    if (bundle.digest != rollout.digest) {
+        return "the bundle has digest " + bundle.digest + " and the rollout names " + rollout.digest;
+    }
+    return context.state.hooks.refusalOf(rollout, bundle);
 }
 
-void readBundle(ReduceContext &context)
+// Counts a refusal, and logs it unless the same rollout was refused just before.
+void refuse(ReduceContext &context, const RolloutRecord &rollout, const std::string &source, const std::string &reason)
 {
-    PlatformRequest request;
-    request.object = "bundle/" + context.state.control.wanted.digest;
-    callPlatform(context, PlatformPurpose::ReadBundle, std::move(request));
+    RolloutRecord &last = context.state.control.refused;
+    context.emit(CountMetric{Metric::BundlesRefused, source == Platform ? "platform" : "peer"});
+    if (last.generation == rollout.generation && last.digest == rollout.digest && last.approval.signature == rollout.approval.signature) {
+        return;
+    }
+    last = rollout;
+    const std::string text = "refused generation " + std::to_string(rollout.generation.value) + ": " + reason + "; generation "
+                             + std::to_string(context.state.control.generation.value) + " stays in force";
+    context.emit(WriteLog{{LogLevel::Error, Step::Adopt, source, {}, text}});
+}
+
+void adopt(ReduceContext &context, const RolloutRecord &rollout, const BundlePtr &bundle, const std::string &source)
+{
+    ControlState &state = context.state.control;
+    state.generation = rollout.generation;
+    state.bundle = bundle;
+    state.rollout = rollout;
+    state.adoptedAt = context.now;
+    context.emit(CountMetric{Metric::BundlesAdopted, {}});
+    context.emit(WriteLog{{LogLevel::Info, Step::Adopt, source, {}, "adopted generation " + std::to_string(state.generation.value)}});
+    publish(context);
+}
+
+// Follows up a rollout that the platform names. A bundle that is in memory is not read again.
+void want(ReduceContext &context, const RolloutRecord &rollout)
+{
+    ControlState &state = context.state.control;
+    if (rollout.generation <= state.generation || rollout.generation <= state.wanted.generation) {
+        return;
+    }
+    state.wanted = rollout;
+    state.bundleFailures = 0;
+    if (state.bundle && state.bundle->digest == rollout.digest) {
+        offerRollout(context, rollout, state.bundle, Platform);
+        return;
+    }
+    readWantedBundle(context);
 }
 }
 
@@ -46,34 +86,54 @@
     ControlState &state = context.state.control;
     const auto *rollout = std::get_if<RolloutRecord>(&reply.value);
     if (reply.outcome != PlatformOutcome::Applied || rollout == nullptr) {
-        retryLater(context);
+        const bool absent = reply.outcome == PlatformOutcome::NotApplied;
+        const Duration wait = absent ? jitter(context, AbsentLimit) : backoff(context, state.rolloutFailures++);
+        context.emit(StartTimer{{TimerKind::PlatformRetry, 0}, context.now + wait});
         return;
     }
+    state.rolloutFailures = 0;
     state.rolloutVersion = reply.version;
-    if (rollout->generation > state.generation && rollout->generation > state.wanted.generation) {
-        state.wanted = *rollout;
-        readBundle(context);
-    }
+    want(context, *rollout);
     followRollout(context);
 }
 
+void readWantedBundle(ReduceContext &context)
+{
+    const ControlState &state = context.state.control;
+    if (state.wanted.generation <= state.generation) {
+        return;
+    }
+    PlatformRequest request;
+    request.object = "bundle/" + state.wanted.digest;
+    callPlatform(context, PlatformPurpose::ReadBundle, std::move(request));
+}
+
 void handleBundleReply(ReduceContext &context, const PlatformReply &reply)
 {
     ControlState &state = context.state.control;
+    if (state.wanted.generation <= state.generation) {
+        return;
+    }
     const auto *bundle = std::get_if<BundlePtr>(&reply.value);
     if (reply.outcome != PlatformOutcome::Applied || bundle == nullptr) {
-        state.wanted = {};
-        state.rolloutVersion = 0;
-        retryLater(context);
+        context.emit(WriteLog{{LogLevel::Warning, Step::Adopt, Platform, {}, "the bundle " + state.wanted.digest + " cannot be read: " + reply.detail}});
+        context.emit(StartTimer{{TimerKind::BundleRetry, 0}, context.now + backoff(context, state.bundleFailures++)});
         return;
     }
-    if ((*bundle)->digest != state.wanted.digest || state.wanted.generation <= state.generation) {
-        return;
+    offerRollout(context, state.wanted, *bundle, Platform);
+}
+
+bool offerRollout(ReduceContext &context, const RolloutRecord &rollout, const BundlePtr &bundle, const std::string &source)
+{
+    if (rollout.generation <= context.state.control.generation || !bundle) {
+        return false;
     }
-    state.generation = state.wanted.generation;
-    state.bundle = *bundle;
-    context.emit(CountMetric{Metric::BundlesAdopted, {}});
-    context.emit(WriteLog{{LogLevel::Info, Step::Adopt, "platform", {}, "adopted generation " + std::to_string(state.generation.value)}});
-    publish(context);
+    const std::string refusal = refusalOf(context, rollout, *bundle);
+    if (!refusal.empty()) {
+        refuse(context, rollout, source, refusal);
+        return false;
+    }
+    adopt(context, rollout, bundle, source);
+    return true;
 }
 }
--- a/src/quetzallift/core/hooks.h
+++ b/src/quetzallift/core/hooks.h
@@ -2,14 +2,24 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 
 namespace Quetzallift
 {
+struct Bundle;
+struct RolloutRecord;
+
 // Behaviour that varies, and the only source of randomness for decisions.
 struct Hooks {
     // A uniformly distributed number.
     std::function<std::uint64_t()> random = [] {
         return std::uint64_t{0};
     };
+
+    // Says why a bundle must not be adopted; empty if its approval is valid. Hooks without a check accept every bundle;
+    // an entry host always sets one.
+    std::function<std::string(const RolloutRecord &, const Bundle &)> refusalOf = [](const RolloutRecord &, const Bundle &) {
+        return std::string();
+    };
 };
 }
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -17,6 +17,7 @@
         handleQueryTimer(context, event.timer);
         break;
     case TimerKind::PlatformRetry:
+    case TimerKind::BundleRetry:
     case TimerKind::HostListPoll:
     case TimerKind::StopLimit:
         handleControlTimer(context, event.timer);
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -8,6 +8,7 @@
     QueryDeadline,
     LatencyTarget,
     PlatformRetry,
+    BundleRetry,
     HostListPoll,
     StopLimit,
 };
--- a/src/quetzallift/edge/bundlecodec.cpp
+++ b/src/quetzallift/edge/bundlecodec.cpp
@@ -157,6 +157,7 @@
     }
     fields.rejectUnknown();
     bundle->digest = digestOf(content);
+    bundle->content = content.dump();
     return bundle;
 }
 
--- a/src/quetzallift/edge/platformcodec.cpp
+++ b/src/quetzallift/edge/platformcodec.cpp
@@ -15,16 +15,40 @@
     return nlohmann::json::object();
 }
 
-nlohmann::json encode(const RolloutRecord &record)
+std::uint64_t encodeWallTime(WallTime time)
+{
+    return static_cast<std::uint64_t>(std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count());
+}
+
+// Shared by the rollout in force and the past ones.
+template<typename Record>
+nlohmann::json encodeGeneration(const Record &record)
 {
     return {
         {"generation", record.generation.value},
         {"digest", record.digest},
         {"token", record.token},
         {"operator", record.operatorName},
+        {"rolled_at_ms", encodeWallTime(record.rolledAt)},
     };
 }
 
+nlohmann::json encode(const Approval &approval)
+{
+    return {{"approver", approval.approver}, {"signature", approval.signature}};
+}
+
+nlohmann::json encode(const RolloutRecord &record)
+{
+    nlohmann::json document = encodeGeneration(record);
+    document["approval"] = encode(record.approval);
+    document["past"] = nlohmann::json::array();
+    for (const PastRollout &past : record.past) {
+        document["past"].push_back(encodeGeneration(past));
+    }
+    return document;
+}
+
 nlohmann::json encode(const ClaimRecord &record)
 {
     return {
@@ -36,9 +60,9 @@
     };
 }
 
-nlohmann::json encode(const BundlePtr &)
+nlohmann::json encode(const BundlePtr &bundle)
 {
-    throw Error(Step::Prepare, "platform", "an entry host does not write bundles");
+    return nlohmann::json::parse(bundle->content);
 }
 
 nlohmann::json encode(const HostListRecord &)
@@ -46,13 +70,38 @@
     throw Error(Step::Join, "platform", "the host list is the platform's own");
 }
 
-RolloutRecord decodeRollout(JsonFields fields)
+// The latest time in milliseconds that the system clock can represent in nanoseconds.
+constexpr std::uint64_t LatestMilliseconds = 9'223'372'036'854;
+
+template<typename Record>
+Record decodeGeneration(JsonFields &fields)
 {
-    RolloutRecord record;
+    Record record;
     record.generation.value = fields.integer("generation", 1, UINT64_MAX);
     record.digest = fields.text("digest");
     record.token = fields.text("token");
     record.operatorName = fields.text("operator", std::string());
+    record.rolledAt = WallTime(std::chrono::milliseconds(fields.integer("rolled_at_ms", 0, LatestMilliseconds, 0)));
+    return record;
+}
+
+Approval decodeApproval(JsonFields fields)
+{
+    Approval approval;
+    approval.approver = fields.text("approver", std::string());
+    approval.signature = fields.text("signature", std::string());
+    return approval;
+}
+
+RolloutRecord decodeRollout(JsonFields fields)
+{
+    auto record = decodeGeneration<RolloutRecord>(fields);
+    if (fields.has("approval")) {
+        record.approval = decodeApproval(fields.object("approval"));
+    }
+    for (JsonFields &past : fields.objects("past")) {
+        record.past.push_back(decodeGeneration<PastRollout>(past));
+    }
     return record;
 }
 
@@ -87,6 +136,9 @@
     if (object.starts_with("bundle/")) {
         return decodeBundle(document, object);
     }
+    if (object.starts_with("approval/")) {
+        return decodeApproval(JsonFields(document, Step::Approve, object));
+    }
     if (object.starts_with("claim/")) {
         return decodeClaim(JsonFields(document, Step::Claim, object));
     }
--- a/src/quetzallift/model/bundle.h
+++ b/src/quetzallift/model/bundle.h
@@ -38,6 +38,9 @@
     std::map<std::string, BackEnd> backEnds;
     std::map<std::string, CallerPolicy> callers;
     std::vector<Objective> objectives;
+    // The canonical encoding of the content, over which the digest is taken. Kept so that the bundle can be passed on
+    // unchanged.
+    std::string content;
 
     // The back end of that name, or null.
     const BackEnd *backEnd(const std::string &name) const;
--- a/src/quetzallift/model/metric.h
+++ b/src/quetzallift/model/metric.h
@@ -20,6 +20,8 @@
     SubRequestFailures,
     // Bundles adopted.
     BundlesAdopted,
+    // Bundles refused by verification; labelled by source.
+    BundlesRefused,
     // Calls to the platform; labelled by outcome.
     PlatformCalls,
 };
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/model/approval.h"
 #include "quetzallift/model/bundle.h"
 #include "quetzallift/model/ids.h"
 #include "quetzallift/model/time.h"
@@ -11,15 +12,31 @@
 
 namespace Quetzallift
 {
-// The rollout object: which bundle is in force.
+// One generation that was rolled earlier.
+struct PastRollout {
+    Generation generation;
+    std::string digest;
+    std::string token;
+    std::string operatorName;
+    WallTime rolledAt;
+};
+
+// The rollout object: which bundle is in force, with all that a host needs in order to verify it.
 struct RolloutRecord {
     Generation generation;
     std::string digest;
     // Unique to one attempt to roll; tells the writer whether its write took effect.
     std::string token;
     std::string operatorName;
+    Approval approval = {};
+    WallTime rolledAt = {};
+    // The generations before this one, newest first, at most MaximumPastRollouts.
+    std::vector<PastRollout> past = {};
 };
 
+// Bounds the size of the rollout object, which every watcher receives.
+constexpr std::size_t MaximumPastRollouts = 32;
+
 // The claim of one request that may not be repeated, and its outcome once known.
 struct ClaimRecord {
     // Unique to the attempt to claim.
@@ -46,7 +63,7 @@
 };
 
 // The decoded value of an object; monostate if there is none.
-using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord>;
+using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, Approval>;
 
 enum class PlatformVerb {
     Read,
