--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -25,7 +25,7 @@
     , m_host(settings.host.name)
     , m_metrics(metrics)
     , m_postToControl(std::move(postToControl))
-    , m_searchers(m_loop)
+    , m_searchers(m_loop, settings.host.address.substr(0, settings.host.address.find(':')))
     , m_server(m_loop, settings.host.address, [this](const HttpExchangePtr &exchange) {
         handleRequest(exchange);
     })
--- a/src/quetzallift/edge/httpclient.cpp
+++ b/src/quetzallift/edge/httpclient.cpp
@@ -72,7 +72,7 @@
     }
 }
 
-void configure(Transfer &transfer)
+void configure(Transfer &transfer, const std::string &interface)
 {
     CURL *easy = transfer.easy.get();
     const HttpRequest &request = transfer.request;
@@ -80,6 +80,9 @@
     curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    if (!interface.empty()) {
+        curl_easy_setopt(easy, CURLOPT_INTERFACE, interface.c_str());
+    }
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     const auto timeout = std::max(std::chrono::ceil<std::chrono::milliseconds>(request.timeout), std::chrono::milliseconds(1));
@@ -106,8 +109,9 @@
 class HttpClient::Engine
 {
 public:
-    explicit Engine(EventLoop &loop)
+    Engine(EventLoop &loop, const std::string &localAddress)
         : m_loop(loop)
+        , m_interface(localAddress.empty() ? std::string() : "host!" + localAddress)
         , m_multi(curl_multi_init())
     {
         curl_multi_setopt(m_multi.get(), CURLMOPT_SOCKETFUNCTION, &Engine::onSocket);
@@ -137,7 +141,7 @@
         transfer->easy = takeEasy();
         transfer->request = std::move(request);
         transfer->completion = std::move(completion);
-        configure(*transfer);
+        configure(*transfer, m_interface);
         Transfer &added = *m_transfers.emplace(transfer->id, std::move(transfer)).first->second;
         curl_multi_add_handle(m_multi.get(), added.easy.get());
         return added.id;
@@ -284,6 +288,8 @@
     }
 
     EventLoop &m_loop;
+    // The local address in curl's form.
+    std::string m_interface;
     CurlMulti m_multi;
     Transfers m_transfers;
     std::vector<CurlEasy> m_idle;
@@ -293,8 +299,8 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-HttpClient::HttpClient(EventLoop &loop)
-    : m_engine(std::make_unique<Engine>(loop))
+HttpClient::HttpClient(EventLoop &loop, const std::string &localAddress)
+    : m_engine(std::make_unique<Engine>(loop, localAddress))
 { }
 
 HttpClient::~HttpClient() = default;
--- a/src/quetzallift/edge/httpclient.h
+++ b/src/quetzallift/edge/httpclient.h
@@ -51,7 +51,8 @@
 public:
     using Completion = std::function<void(HttpResult)>;
 
-    explicit HttpClient(EventLoop &loop);
+    // Connections go out from the given IP number, or from one that the system chooses if it is empty.
+    explicit HttpClient(EventLoop &loop, const std::string &localAddress = {});
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/src/quetzallift/edge/httpexchange.cpp
+++ b/src/quetzallift/edge/httpexchange.cpp
@@ -74,9 +74,23 @@
     m_status = status;
     m_response = std::move(body);
     m_headers["Content-Type"] = contentType;
+    resume();
+}
+
+void HttpExchange::drop()
+{
+    if (m_responded || m_connection == nullptr) {
+        return;
+    }
+    m_responded = true;
+    m_dropped = true;
+    resume();
+}
+
+void HttpExchange::resume()
+{
     if (m_suspended.is_linked()) {
         m_suspended.unlink();
-        MHD_resume_connection(m_connection);
         m_continue();
     }
 }
--- a/src/quetzallift/edge/httpexchange.h
+++ b/src/quetzallift/edge/httpexchange.h
@@ -34,6 +34,9 @@
     // Sends the response. A second call, or one after the connection closed, does nothing.
     void respond(unsigned status, std::string body, const std::string &contentType = "application/json");
 
+    // Closes the connection without a response.
+    void drop();
+
     // Adds a header to the response; to be called before respond().
     void addHeader(std::string name, std::string value);
 
@@ -43,6 +46,9 @@
 private:
     friend class HttpServerCallbacks;
 
+    // Hands the response over to the server if the connection waits for it.
+    void resume();
+
     using Hook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
     MHD_Connection *m_connection;
@@ -53,13 +59,14 @@
     std::map<std::string, std::string> m_arguments;
     std::map<std::string, std::string> m_headers;
     std::function<void()> m_closedHandler;
-    // Makes the server continue with this connection after it was resumed.
+    // Makes the server continue with this connection once its response is known.
     std::function<void()> m_continue;
     bool m_tooLarge = false;
     bool m_handled = false;
     // Linked while the connection waits for the response.
     Hook m_suspended;
     bool m_responded = false;
+    bool m_dropped = false;
     unsigned m_status = 0;
     std::string m_response;
 };
--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "quetzallift/edge/httpserver.h"
 
+#include "quetzallift/edge/closewatch.h"
 #include "quetzallift/edge/eventloop.h"
 #include "quetzallift/edge/socketaddress.h"
 #include "quetzallift/model/error.h"
@@ -24,16 +25,19 @@
 class HttpServerCallbacks
 {
 public:
-    HttpServerCallbacks(HttpServer::Handler handler, std::function<void()> scheduleWork)
+    HttpServerCallbacks(ACE_Reactor &reactor, HttpServer::Handler handler, ConnectionHooks hooks, std::function<void()> scheduleWork)
         : m_handler(std::move(handler))
+        , m_hooks(std::move(hooks))
         , m_scheduleWork(std::move(scheduleWork))
+        , m_closeWatch(reactor)
     { }
 
-    // Closes the connections that wait for a response; libmicrohttpd cannot stop with suspended ones.
-    void closeSuspended()
+    // Closes the connections that wait for a response; libmicrohttpd cannot stop with suspended ones. A response would
+    // claim an outcome that is not known.
+    void dropSuspended()
     {
         while (!m_suspended.empty()) {
-            m_suspended.front().respond(MHD_HTTP_SERVICE_UNAVAILABLE, R"({"error":"the process ends","step":"stop"})");
+            m_suspended.front().drop();
         }
     }
 
@@ -65,6 +69,21 @@
         return exchange->m_responded ? queueResponse(*exchange) : self->suspend(*exchange);
     }
 
+    static MHD_Result onAccept(void *context, const sockaddr *, socklen_t)
+    {
+        const ConnectionHooks &hooks = static_cast<HttpServerCallbacks *>(context)->m_hooks;
+        return !hooks.accept || hooks.accept() ? MHD_YES : MHD_NO;
+    }
+
+    static void onConnection(void *context, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
+    {
+        const ConnectionHooks &hooks = static_cast<HttpServerCallbacks *>(context)->m_hooks;
+        const auto &hook = code == MHD_CONNECTION_NOTIFY_STARTED ? hooks.opened : hooks.closed;
+        if (hook) {
+            hook(formatAddress(*MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS)->client_addr));
+        }
+    }
+
     static void onCompleted(void *, MHD_Connection *, void **slot, MHD_RequestTerminationCode)
     {
         auto *exchange = static_cast<HttpExchange *>(*slot);
@@ -102,13 +121,36 @@
     MHD_Result suspend(HttpExchange &exchange)
     {
         m_suspended.push_back(exchange);
-        exchange.m_continue = m_scheduleWork;
+        const MHD_socket socket = MHD_get_connection_info(exchange.m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        exchange.m_continue = [this, socket, connection = exchange.m_connection] {
+            m_closeWatch.remove(socket);
+            MHD_resume_connection(connection);
+            m_scheduleWork();
+        };
+        m_closeWatch.add(socket, [&exchange] {
+            closeSuspended(exchange);
+        });
         MHD_suspend_connection(exchange.m_connection);
         return MHD_YES;
     }
 
+    // Ends a request whose peer closed the connection.
+    static void closeSuspended(HttpExchange &exchange)
+    {
+        const HttpExchangePtr kept(&exchange);
+        const std::function<void()> handler = std::move(exchange.m_closedHandler);
+        exchange.m_closedHandler = nullptr;
+        if (handler) {
+            handler();
+        }
+        exchange.drop();
+    }
+
     static MHD_Result queueResponse(HttpExchange &exchange)
     {
+        if (exchange.m_dropped) {
+            return MHD_NO;
+        }
         MHD_Response *response = MHD_create_response_from_buffer(exchange.m_response.size(), exchange.m_response.data(), MHD_RESPMEM_MUST_COPY);
         for (const auto &[name, value] : exchange.m_headers) {
             MHD_add_response_header(response, name.c_str(), value.c_str());
@@ -123,7 +165,9 @@
                                                  boost::intrusive::constant_time_size<false>>;
 
     HttpServer::Handler m_handler;
+    ConnectionHooks m_hooks;
     std::function<void()> m_scheduleWork;
+    CloseWatch m_closeWatch;
     SuspendedList m_suspended;
 };
 
@@ -131,17 +175,17 @@
 class HttpServer::Daemon : public ACE_Event_Handler
 {
 public:
-    Daemon(EventLoop &loop, const std::string &address, Handler handler)
+    Daemon(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks)
         : m_loop(loop)
-        , m_callbacks(std::move(handler), [this] {
+        , m_callbacks(loop.reactor(), std::move(handler), std::move(hooks), [this] {
             workAt(Clock::now());
         })
     {
         const sockaddr_in socketAddress = parseAddress(address);
         m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
                                     0,
-                                    nullptr,
-                                    nullptr,
+                                    &HttpServerCallbacks::onAccept,
+                                    &m_callbacks,
                                     &HttpServerCallbacks::onRequest,
                                     &m_callbacks,
                                     MHD_OPTION_SOCK_ADDR,
@@ -155,6 +199,9 @@
                                     MHD_OPTION_NOTIFY_COMPLETED,
                                     &HttpServerCallbacks::onCompleted,
                                     nullptr,
+                                    MHD_OPTION_NOTIFY_CONNECTION,
+                                    &HttpServerCallbacks::onConnection,
+                                    &m_callbacks,
                                     MHD_OPTION_END);
         if (m_daemon == nullptr) {
             throw Error(Step::Settings, address, "cannot listen on this address");
@@ -168,7 +215,7 @@
         *m_alive = false;
         m_loop.reactor().remove_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
         stopListening();
-        m_callbacks.closeSuspended();
+        m_callbacks.dropSuspended();
         MHD_run(m_daemon);
         MHD_stop_daemon(m_daemon);
     }
@@ -232,8 +279,8 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-HttpServer::HttpServer(EventLoop &loop, const std::string &address, Handler handler)
-    : m_daemon(std::make_unique<Daemon>(loop, address, std::move(handler)))
+HttpServer::HttpServer(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks)
+    : m_daemon(std::make_unique<Daemon>(loop, address, std::move(handler), std::move(hooks)))
 { }
 
 HttpServer::~HttpServer() = default;
--- a/src/quetzallift/edge/httpserver.h
+++ b/src/quetzallift/edge/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/edge/connectionhooks.h"
 #include "quetzallift/edge/httpexchange.h"
 
 #include <functional>
@@ -19,7 +20,7 @@
     using Handler = std::function<void(HttpExchangePtr)>;
 
     // Listens on "ip:port". Throws Error if the address cannot be used.
-    HttpServer(EventLoop &loop, const std::string &address, Handler handler);
+    HttpServer(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks = {});
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/src/quetzallift/edge/searcherclient.cpp
+++ b/src/quetzallift/edge/searcherclient.cpp
@@ -26,9 +26,9 @@
 }
 }
 
-SearcherClient::SearcherClient(EventLoop &loop)
+SearcherClient::SearcherClient(EventLoop &loop, const std::string &localAddress)
     : m_loop(loop)
-    , m_http(loop)
+    , m_http(loop, localAddress)
 { }
 
 void SearcherClient::send(const SendSubRequest &effect)
--- a/src/quetzallift/edge/searcherclient.h
+++ b/src/quetzallift/edge/searcherclient.h
@@ -13,7 +13,8 @@
 class SearcherClient
 {
 public:
-    explicit SearcherClient(EventLoop &loop);
+    // Connections go out from the given IP number, by which searchers and firewalls know the host.
+    SearcherClient(EventLoop &loop, const std::string &localAddress);
 
     void send(const SendSubRequest &effect);
     void cancel(const CancelSubRequest &effect);
--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -1,5 +1,6 @@
 #include "stand_ins/platform.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace StandIns
@@ -16,6 +17,21 @@
     return value;
 }
 
+// The kind under which a call is metered.
+std::string kindOf(const HttpExchange &exchange)
+{
+    if (exchange.path() == "/v1/hosts") {
+        return "hosts";
+    }
+    if (exchange.path() == "/v1/objects") {
+        return "list";
+    }
+    if (exchange.method() == "PUT") {
+        return "write";
+    }
+    return exchange.argument("watch").empty() ? "read" : "watch";
+}
+
 void fail(const HttpExchangePtr &exchange, unsigned status, const std::string &message)
 {
     exchange->respond(status, json{{"error", message}}.dump());
@@ -35,11 +51,17 @@
         control(exchange);
         return;
     }
-    ++m_calls;
+    ++m_calls[kindOf(*exchange)];
     if (m_down) {
         fail(exchange, 503, "outage");
         return;
     }
+    const bool cut = std::any_of(m_cutFrom.begin(), m_cutFrom.end(), [&](const std::string &prefix) {
+        return exchange->peer().starts_with(prefix);
+    });
+    if (cut) {
+        return;
+    }
     m_loop.callAt(Clock::now() + m_delay, [this, exchange] {
         const std::string prefix = "/v1/objects/";
         if (exchange->path().starts_with(prefix)) {
@@ -158,7 +180,10 @@
     if (exchange->method() == "POST") {
         const json request = json::parse(exchange->body());
         m_down = request.value("down", m_down);
-        m_delay = std::chrono::milliseconds(request.value("delay_ms", 0));
+        if (request.contains("delay_ms")) {
+            m_delay = std::chrono::milliseconds(request["delay_ms"].get<int>());
+        }
+        m_cutFrom = request.value("cut_from", m_cutFrom);
         m_lostWriteAnswers = request.value("lost_write_answers", m_lostWriteAnswers);
         if (request.contains("hosts")) {
             m_hosts = json{{"hosts", request["hosts"]}}.dump();
--- a/stand_ins/platform.h
+++ b/stand_ins/platform.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 
 namespace StandIns
@@ -47,8 +48,11 @@
     std::uint64_t m_lastVersion = 0;
     std::list<Watch> m_watches;
     std::string m_hosts = R"({"hosts":[]})";
-    std::uint64_t m_calls = 0;
+    // Calls since the start, by kind: read, write, watch, list, hosts.
+    std::map<std::string, std::uint64_t> m_calls;
     bool m_down = false;
+    // Prefixes of IP numbers whose calls get no answer.
+    std::set<std::string> m_cutFrom;
     Quetzallift::Duration m_delay = Quetzallift::Duration::zero();
     // Writes left whose answers are lost after they take effect.
     unsigned m_lostWriteAnswers = 0;
--- /dev/null
+++ b/tests/edge/httpserver_test.cpp
@@ -0,0 +1,68 @@
+#include "quetzallift/edge/eventloop.h"
+#include "quetzallift/edge/httpclient.h"
+#include "quetzallift/edge/httpserver.h"
+
+#include <curl/curl.h>
+
+#include <criterion/criterion.h>
+
+using namespace Quetzallift;
+
+namespace
+{
+constexpr const char *Address = "127.0.0.1:19871";
+
+HttpRequest makeRequest()
+{
+    HttpRequest request;
+    request.url = std::string("http://") + Address + "/";
+    request.timeout = std::chrono::seconds(10);
+    return request;
+}
+}
+
+// Guards against work that goes on for a caller that closed its connection.
+Test(httpserver, tellsThatThePeerClosedWhileTheRequestWaits)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    EventLoop loop;
+    HttpClient client(loop);
+    TransferId transfer;
+    bool closed = false;
+    HttpServer server(loop, Address, [&](const HttpExchangePtr &exchange) {
+        exchange->setClosedHandler([&] {
+            closed = true;
+            loop.stop();
+        });
+        client.cancel(transfer);
+    });
+    transfer = client.send(makeRequest(), [](const HttpResult &) {
+    });
+    loop.callAt(Clock::now() + std::chrono::seconds(10), [&] {
+        loop.stop();
+    });
+    loop.run();
+    cr_assert(closed);
+}
+
+// Guards against a server that ends and tells a caller that its request did not run.
+Test(httpserver, closesWithoutAResponseIfTheRequestIsDropped)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    EventLoop loop;
+    HttpClient client(loop);
+    HttpServer server(loop, "127.0.0.1:19872", [&](const HttpExchangePtr &exchange) {
+        loop.callAt(Clock::now(), [exchange] {
+            exchange->drop();
+        });
+    });
+    HttpRequest request = makeRequest();
+    request.url = "http://127.0.0.1:19872/";
+    HttpOutcome outcome = HttpOutcome::Responded;
+    client.send(std::move(request), [&](const HttpResult &result) {
+        outcome = result.outcome;
+        loop.stop();
+    });
+    loop.run();
+    cr_assert(outcome == HttpOutcome::Reset);
+}
