--- a/src/quetzallift/control/events.h
+++ b/src/quetzallift/control/events.h
@@ -2,7 +2,9 @@
 
 #include "quetzallift/core/timerkey.h"
 #include "quetzallift/model/ids.h"
+#include "quetzallift/model/peermessage.h"
 #include "quetzallift/model/platform.h"
+#include "quetzallift/model/servicecounts.h"
 
 #include <string>
 
@@ -34,6 +36,22 @@
     std::string answer;
 };
 
+// A peer sent a message.
+struct PeerMessageArrived {
+    std::string from;
+    PeerMessage message;
+};
+
+// A message to a peer could not be delivered.
+struct PeerUnreachable {
+    std::string address;
+};
+
+// A traffic thread counted its service.
+struct ServiceReported {
+    ServiceTable table;
+};
+
 // A traffic thread has no query left after a stop was requested.
 struct TrafficStopped {
     unsigned thread = 0;
--- a/src/quetzallift/edge/platformcodec.cpp
+++ b/src/quetzallift/edge/platformcodec.cpp
@@ -1,7 +1,9 @@
 #include "quetzallift/edge/platformcodec.h"
 
 #include "quetzallift/edge/bundlecodec.h"
+#include "quetzallift/edge/burncodec.h"
 #include "quetzallift/edge/jsonfields.h"
+#include "quetzallift/edge/sharescodec.h"
 #include "quetzallift/model/error.h"
 
 #include <nlohmann/json.hpp>
@@ -36,6 +38,11 @@
     };
 }
 
+nlohmann::json encode(const BurnRecord &record)
+{
+    return encodeBurn(record);
+}
+
 nlohmann::json encode(const BundlePtr &)
 {
     throw Error(Step::Prepare, "platform", "an entry host does not write bundles");
@@ -46,6 +53,11 @@
     throw Error(Step::Join, "platform", "the host list is the platform's own");
 }
 
+nlohmann::json encode(const SharesRecord &record)
+{
+    return encodeShares(record);
+}
+
 RolloutRecord decodeRollout(JsonFields fields)
 {
     RolloutRecord record;
@@ -87,9 +99,15 @@
     if (object.starts_with("bundle/")) {
         return decodeBundle(document, object);
     }
+    if (object == "shares") {
+        return decodeShares(document, object);
+    }
     if (object.starts_with("claim/")) {
         return decodeClaim(JsonFields(document, Step::Claim, object));
     }
+    if (object.starts_with("burn/")) {
+        return decodeBurn(document, object);
+    }
     return {};
 }
 
