Carry messages between hosts over HTTP/2 streams

Cause: hosts need a bounded, non-blocking channel to each other for membership and generations. Change: PeerStreams keeps one nghttp2 session over an ACE socket to each peer that is talked to, at most 128 outgoing and 512 incoming; one stream carries one message of at most 1.25 MB and is acknowledged. Queues are bounded at 64 messages and 4 MB a peer, connections without progress for 2 s are given up and reported, idle ones close after 30 s with GOAWAY, and a planned stop sends GOAWAY after the last message taken. A message may only speak for the IP address from which it came.

--- /dev/null
+++ b/src/quetzallift/edge/internal/peersessioncallbacks.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "quetzallift/edge/peersession.h"
+
+namespace Quetzallift
+{
+// What nghttp2 calls while it reads or writes frames of a PeerSession. The callbacks only collect; hooks of the owner are
+// called after nghttp2 has returned, since it must not be entered again.
+class PeerSessionCallbacks
+{
+public:
+    // Carries the sender's own listening address, to which a reply is sent.
+    static constexpr std::string_view FromHeader = "quetzallift-peer";
+
+    // Makes the nghttp2 session of one side with its settings queued; null if memory is short.
+    static std::unique_ptr<nghttp2_session, PeerSession::SessionDeleter> makeSession(PeerSession &session, PeerSide side);
+
+    static ssize_t
+    readBody(nghttp2_session *, std::int32_t stream, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags, nghttp2_data_source *, void *context);
+
+private:
+    static int onBeginHeaders(nghttp2_session *, const nghttp2_frame *frame, void *context);
+    static int onHeader(nghttp2_session *,
+                        const nghttp2_frame *frame,
+                        const std::uint8_t *name,
+                        std::size_t nameLength,
+                        const std::uint8_t *value,
+                        std::size_t valueLength,
+                        std::uint8_t flags,
+                        void *context);
+    static int onData(nghttp2_session *, std::uint8_t flags, std::int32_t stream, const std::uint8_t *data, std::size_t length, void *context);
+    static int onFrame(nghttp2_session *, const nghttp2_frame *frame, void *context);
+    static int onStreamClosed(nghttp2_session *, std::int32_t stream, std::uint32_t error, void *context);
+
+    static void completeMessage(PeerSession &session, std::int32_t stream);
+};
+}
