--- a/src/quetzallift/app/metrics.cpp
+++ b/src/quetzallift/app/metrics.cpp
@@ -26,6 +26,8 @@
         {Metric::SubRequests, {"quetzallift_sub_requests_total", "back_end", "First sub-requests sent"}},
         {Metric::Hedges, {"quetzallift_hedges_total", "back_end", "Hedges sent"}},
         {Metric::Retries, {"quetzallift_retries_total", "back_end", "Retries sent"}},
+        {Metric::Restarts, {"quetzallift_restarts_total", "back_end", "Queries started again on another snapshot"}},
+        {Metric::Probes, {"quetzallift_probes_total", "back_end", "Sub-requests that asked whether an announced layout is served"}},
         {Metric::DroppedReplies, {"quetzallift_dropped_replies_total", "cause", "Replies dropped by identity"}},
         {Metric::SubRequestFailures, {"quetzallift_sub_request_failures_total", "kind", "Sub-requests that failed"}},
         {Metric::BundlesAdopted, {"quetzallift_bundles_adopted_total", "", "Bundles adopted"}},
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -14,6 +14,7 @@
     switch (event.timer.kind) {
     case TimerKind::QueryDeadline:
     case TimerKind::LatencyTarget:
+    case TimerKind::StragglerCheck:
         handleQueryTimer(context, event.timer);
         break;
     case TimerKind::PlatformRetry:
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -7,6 +7,7 @@
 enum class TimerKind {
     QueryDeadline,
     LatencyTarget,
+    StragglerCheck,
     PlatformRetry,
     HostListPoll,
     StopLimit,
--- a/src/quetzallift/model/metric.h
+++ b/src/quetzallift/model/metric.h
@@ -14,6 +14,10 @@
     Hedges,
     // Retries sent; labelled by back end.
     Retries,
+    // Queries started again because their snapshot went away; labelled by back end.
+    Restarts,
+    // Sub-requests that asked whether an announced layout is served yet; labelled by back end.
+    Probes,
     // Replies that matched no waiting attempt or carried another identity; labelled by cause.
     DroppedReplies,
     // Failed sub-requests; labelled by failure kind.
--- a/src/quetzallift/query/arrive.cpp
+++ b/src/quetzallift/query/arrive.cpp
@@ -1,13 +1,14 @@
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/admit.h"
 #include "quetzallift/query/claim.h"
+#include "quetzallift/query/deadlines.h"
 #include "quetzallift/query/finish.h"
 #include "quetzallift/query/gather.h"
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/plan.h"
+#include "quetzallift/query/probe.h"
 #include "quetzallift/query/scatter.h"
-
-#include <algorithm>
+#include "quetzallift/query/straggler.h"
 
 namespace Quetzallift
 {
@@ -20,30 +21,34 @@
     query.request = event.request;
     query.arrivedAt = context.now;
     query.deadline = context.now + event.request.deadline;
+    query.answerAt = answerInstant(context.now, event.request.deadline);
+    query.subRequestsUntil = subRequestInstant(context.now, query.answerAt);
     query.control = context.state.query.control;
     query.backEnd = query.control->bundle->backEnd(event.request.backEnd);
     return query;
 }
 
-// A latency-first back end answers at its latency target with what it has; a coverage-first one waits for the deadline.
+// A latency-first back end answers at its latency target with what it has; a coverage-first one waits for the deadline, as
+// does a request that may not be repeated, since its recorded answer can never be completed.
 void startTimers(ReduceContext &context, const RunningQuery &query)
 {
-    context.emit(StartTimer{{TimerKind::QueryDeadline, query.id.value}, query.deadline});
+    context.emit(StartTimer{{TimerKind::QueryDeadline, query.id.value}, query.answerAt});
     const BackEndPolicy &policy = query.backEnd->policy;
-    const TimePoint target = query.arrivedAt + policy.latencyTarget;
-    if (policy.preference == DeadlinePreference::Latency && target < query.deadline) {
+    const TimePoint target = answerInstant(query.arrivedAt, policy.latencyTarget);
+    if (policy.preference == DeadlinePreference::Latency && query.request.repeatable && target < query.answerAt) {
         context.emit(StartTimer{{TimerKind::LatencyTarget, query.id.value}, target});
     }
 }
 
-bool reachesMinimum(const RunningQuery &query)
+// Answers with what was gathered; nothing was sent if the claim is still open, and a claim granted later is not used.
+void endAtDeadline(ReduceContext &context, RunningQuery &query)
 {
-    std::uint64_t covered = 0;
-    for (std::size_t index = 0; index < query.shards.size(); ++index) {
-        covered += query.shards[index].covered ? query.layout->shards[index].weight : 0;
+    if (query.claimPending) {
+        refuse(context, query.id, Step::Claim, "the claim was not settled before the deadline; nothing was sent");
+        dropQuery(context, query);
+        return;
     }
-    const auto total = static_cast<double>(query.layout->totalWeight());
-    return static_cast<double>(covered) >= query.request.minimumCoverage * total;
+    finishQuery(context, query);
 }
 }
 
@@ -65,6 +70,7 @@
         return;
     }
     scatter(context, running);
+    probeNewestLayout(context, running);
     answerIfComplete(context, running);
 }
 
@@ -87,9 +93,14 @@
     if (found == context.state.query.queries.end()) {
         return;
     }
-    if (timer.kind == TimerKind::LatencyTarget && !reachesMinimum(found->second)) {
-        return;
+    RunningQuery &query = found->second;
+    if (timer.kind == TimerKind::StragglerCheck) {
+        checkStragglers(context, query);
+    } else if (timer.kind == TimerKind::LatencyTarget) {
+        query.targetPassed = true;
+        answerIfComplete(context, query);
+    } else {
+        endAtDeadline(context, query);
     }
-    finishQuery(context, found->second);
 }
 }
--- a/src/quetzallift/query/claim.cpp
+++ b/src/quetzallift/query/claim.cpp
@@ -5,6 +5,7 @@
 #include "quetzallift/query/finish.h"
 #include "quetzallift/query/gather.h"
 #include "quetzallift/query/handlers.h"
+#include "quetzallift/query/plan.h"
 #include "quetzallift/query/scatter.h"
 
 namespace Quetzallift
@@ -35,27 +36,33 @@
     refuse(context, query.id, Step::Claim, detail);
     dropQuery(context, query);
 }
+
+// Records that a claim granted after its query was answered was not used.
+void recordNotRun(ReduceContext &context, const RequestedClaim &claim)
+{
+    QueryAnswer answer;
+    answer.status = AnswerStatus::Failed;
+    answer.execution = Execution::NotRun;
+    answer.generation = claim.generation;
+    answer.error = "the claim was granted after the query had ended; nothing was sent";
+    answer.errorStep = Step::Claim;
+    context.emit(RecordOutcome{claim.object, std::move(answer)});
 }
 
-void requestClaim(ReduceContext &context, RunningQuery &query)
+// Plans again, since snapshots may have changed while the claim was made, and sends the request once.
+void runClaimed(ReduceContext &context, RunningQuery &query, const RequestedClaim &claim)
 {
-    const QueryRequest &request = query.request;
-    const std::string object = "claim/" + request.caller + "/" + request.requestId;
-    context.emit(RequestClaim{query.id, object, fingerprintOf(request), query.deadline - context.now});
+    query.claimObject = claim.object;
+    plan(context.state.query, query);
+    scatter(context, query);
+    answerIfComplete(context, query);
 }
 
-void handleClaimSettled(ReduceContext &context, const ClaimSettled &event)
+void settleQuery(ReduceContext &context, RunningQuery &query, const RequestedClaim &claim, const ClaimSettled &event)
 {
-    const auto found = context.state.query.queries.find(event.query);
-    if (found == context.state.query.queries.end()) {
-        return;
-    }
-    RunningQuery &query = found->second;
     switch (event.result) {
     case ClaimResult::Granted:
-        query.claimObject = "claim/" + query.request.caller + "/" + query.request.requestId;
-        scatter(context, query);
-        answerIfComplete(context, query);
+        runClaimed(context, query, claim);
         break;
     case ClaimResult::Finished:
         context.emit(SendRecordedAnswer{query.id, event.recordedAnswer});
@@ -71,3 +78,32 @@
     }
 }
 }
+
+void requestClaim(ReduceContext &context, RunningQuery &query)
+{
+    const QueryRequest &request = query.request;
+    const std::string object = "claim/" + request.caller + "/" + request.requestId;
+    query.claimPending = true;
+    context.state.query.requestedClaims[query.id] = {object, query.control->generation};
+    context.emit(RequestClaim{query.id, object, fingerprintOf(request), query.subRequestsUntil - context.now});
+}
+
+void handleClaimSettled(ReduceContext &context, const ClaimSettled &event)
+{
+    QueryState &state = context.state.query;
+    const auto requested = state.requestedClaims.find(event.query);
+    if (requested == state.requestedClaims.end()) {
+        return;
+    }
+    const RequestedClaim claim = std::move(requested->second);
+    state.requestedClaims.erase(requested);
+    const auto found = state.queries.find(event.query);
+    if (found != state.queries.end()) {
+        found->second.claimPending = false;
+        settleQuery(context, found->second, claim, event);
+    } else if (event.result == ClaimResult::Granted) {
+        recordNotRun(context, claim);
+    }
+    reportStopped(context);
+}
+}
--- a/src/quetzallift/query/finish.cpp
+++ b/src/quetzallift/query/finish.cpp
@@ -59,6 +59,16 @@
     return coverage.ratio() >= query.request.minimumCoverage ? AnswerStatus::Partial : AnswerStatus::Failed;
 }
 
+// Not run is claimed only if every attempt is known not to have left this host.
+Execution executionOf(const RunningQuery &query, const QueryAnswer &answer)
+{
+    if (answer.status != AnswerStatus::Failed && answer.coverage.shardsCovered > 0) {
+        return Execution::Ran;
+    }
+    const bool mayHaveRun = query.mayHaveRun || (query.sentAnything && query.attemptsWaiting > 0);
+    return mayHaveRun ? Execution::MayHaveRun : Execution::NotRun;
+}
+
 QueryAnswer makeAnswer(RunningQuery &query)
 {
     QueryAnswer answer;
@@ -66,44 +76,68 @@
     answer.generation = query.control->generation;
     answer.coverage = coverageOf(query);
     answer.status = statusOf(query, answer.coverage);
-    answer.execution = query.sentAnything ? Execution::Ran : Execution::NotRun;
+    answer.execution = executionOf(query, answer);
     listMissing(query, answer);
     if (answer.status == AnswerStatus::Failed) {
-        answer.error = "coverage is below the minimum that the caller set";
+        answer.error = "coverage is below the minimum that the caller set: " + std::to_string(answer.coverage.shardsCovered) + " of "
+                       + std::to_string(answer.coverage.shardsTotal) + " shards replied";
         answer.errorStep = Step::Gather;
-        answer.execution = query.sentAnything ? Execution::MayHaveRun : Execution::NotRun;
     } else {
         mergeRows(query, answer);
     }
     return answer;
 }
 
-// Tells the control thread once the last query of a stopping thread is gone.
+// Learns that an attempt which lost to another replica took at least as long as it had waited. Only a wait beyond the tail
+// says on which side of it the reply would have come.
+void learnWait(ReduceContext &context, const RunningQuery &query, const Attempt &attempt)
+{
+    const Duration waited = context.now - attempt.plannedAt;
+    LatencyEstimate &latency = context.state.query.backEnds[query.request.backEnd].latency;
+    if (waited >= latency.tail().value_or(Duration::max())) {
+        latency.add(waited);
+    }
+    ReplicaRecord &record = context.state.query.replicaRecords[attempt.searcher];
+    if (record.usualLatency && *record.usualLatency < waited) {
+        record.learnLatency(waited);
+    }
+}
+}
+
 void reportStopped(ReduceContext &context)
 {
     QueryState &state = context.state.query;
-    if (state.stopping && state.queries.empty() && !state.stopReported) {
+    if (state.stopping && state.queries.empty() && state.requestedClaims.empty() && !state.stopReported) {
         state.stopReported = true;
         context.emit(ReportStopped{});
     }
 }
-}
 
-void cancelWaiting(ReduceContext &context, ShardProgress &progress)
+void cancelWaiting(ReduceContext &context, RunningQuery &query, ShardProgress &progress)
 {
     QueryState &state = context.state.query;
     for (const AttemptId attempt : progress.waiting) {
         const auto found = state.attempts.find(attempt);
         const Attempt cancelled = std::move(found->second);
         state.attempts.erase(found);
+        if (progress.covered) {
+            learnWait(context, query, cancelled);
+        }
         noteCancelled(context, cancelled);
         context.emit(CancelSubRequest{attempt});
+        --query.attemptsWaiting;
+        // An attempt that still waits for a connection was not sent, but then the query counts as run only if another was.
+        query.mayHaveRun = query.mayHaveRun || query.sentAnything;
     }
     progress.waiting.clear();
 }
 
 void finishQuery(ReduceContext &context, RunningQuery &query)
 {
+    if (query.probe) {
+        dropQuery(context, query);
+        return;
+    }
     QueryAnswer answer = makeAnswer(query);
     context.emit(CountMetric{Metric::Answers, toString(answer.status)});
     if (!query.claimObject.empty()) {
@@ -116,7 +150,7 @@
 void dropQuery(ReduceContext &context, RunningQuery &query)
 {
     for (ShardProgress &shard : query.shards) {
-        cancelWaiting(context, shard);
+        cancelWaiting(context, query, shard);
     }
     context.state.query.queries.erase(query.id);
     reportStopped(context);
--- a/src/quetzallift/query/gather.cpp
+++ b/src/quetzallift/query/gather.cpp
@@ -3,10 +3,11 @@
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/finish.h"
 #include "quetzallift/query/handlers.h"
-#include "quetzallift/query/scatter.h"
+#include "quetzallift/query/retry.h"
 #include "quetzallift/query/searcherpool.h"
+#include "quetzallift/query/straggler.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace Quetzallift
 {
@@ -16,16 +17,30 @@
 Attempt takeAttempt(QueryState &state, std::unordered_map<AttemptId, Attempt>::iterator found)
 {
     Attempt attempt = std::move(found->second);
+    RunningQuery &query = state.queries.at(attempt.query);
+    query.shards[attempt.shardIndex].waiting.erase(found->first);
+    --query.attemptsWaiting;
     state.attempts.erase(found);
     return attempt;
 }
 
-// True if the reply belongs to the attempt: same request, attempt, shard and snapshot.
-bool matches(const RunningQuery &query, const Attempt &attempt, const SubReplyArrived &event)
+// Why the reply does not belong to the attempt on whose connection it came; null if it does.
+const char *mismatchOf(const RunningQuery &query, const Attempt &attempt, const SubReplyArrived &event)
 {
     const SubReply &reply = event.reply;
-    return reply.attempt == event.attempt && reply.requestId == query.request.requestId && reply.shard == query.layout->shards[attempt.shardIndex].id
-           && reply.snapshot == query.snapshot;
+    if (reply.attempt != event.attempt || reply.requestId != query.request.requestId || reply.shard != query.layout->shards[attempt.shardIndex].id) {
+        return "crossed";
+    }
+    return reply.snapshot == query.snapshot ? nullptr : "wrong_snapshot";
+}
+
+// Why there is no attempt that a reply could belong to.
+const char *orphanCause(const QueryState &state, AttemptId attempt)
+{
+    if (attempt.value == 0 || attempt.value > state.lastAttempt) {
+        return "foreign";
+    }
+    return state.endedAttempts.hadReply(attempt) ? "doubled" : "late";
 }
 
 FailureKind failureOf(SubReplyStatus status)
@@ -45,32 +60,63 @@
     return FailureKind::BadReply;
 }
 
-void retryOrGiveUp(ReduceContext &context, RunningQuery &query, std::size_t shardIndex, Failure failure)
+// Learns from a reply whose identity is proved.
+void learn(ReduceContext &context, const Attempt &attempt, const SubReplyArrived &event)
 {
-    context.emit(CountMetric{Metric::SubRequestFailures, toString(failure.kind)});
-    ShardProgress &progress = query.shards[shardIndex];
-    progress.lastFailure = std::move(failure);
-    if (query.request.repeatable && !progress.covered && sendToUntriedReplica(context, query, shardIndex)) {
-        context.emit(CountMetric{Metric::Retries, query.request.backEnd});
+    QueryState &state = context.state.query;
+    noteReply(context, attempt, event.reply);
+    ReplicaRecord &record = state.replicaRecords[attempt.searcher];
+    if (record.learnSnapshots(event.attempt, event.reply)) {
+        ++state.recordsVersion;
+    }
+    if (event.reply.status == SubReplyStatus::Ok) {
+        const Duration latency = context.now - attempt.plannedAt;
+        record.learnLatency(latency);
+        state.backEnds[state.queries.at(attempt.query).request.backEnd].latency.add(latency);
     }
 }
 
-void cover(ReduceContext &context, RunningQuery &query, std::size_t shardIndex, const SubReply &reply)
+void cover(ReduceContext &context, RunningQuery &query, std::size_t shardIndex, std::vector<Row> rows)
 {
     ShardProgress &progress = query.shards[shardIndex];
     progress.covered = true;
-    progress.rows = reply.rows;
+    progress.rows = std::move(rows);
     ++query.shardsCovered;
-    cancelWaiting(context, progress);
+    cancelWaiting(context, query, progress);
+}
+
+// Gathers a reply whose identity is proved.
+void gather(ReduceContext &context, RunningQuery &query, const Attempt &attempt, const SubReply &reply)
+{
+    if (reply.status == SubReplyStatus::SnapshotGone && restartOnOtherSnapshot(context, query)) {
+        return;
+    }
+    if (reply.status != SubReplyStatus::Ok) {
+        retryShard(context, query, attempt.shardIndex, Failure{Step::Wait, attempt.searcher, failureOf(reply.status), {}}, true);
+    } else if (reply.truncated) {
+        query.shards[attempt.shardIndex].rows = reply.rows;
+        retryShard(context, query, attempt.shardIndex, Failure{Step::Gather, attempt.searcher, FailureKind::Truncated, "the reply is truncated"}, true);
+    } else {
+        cover(context, query, attempt.shardIndex, reply.rows);
+    }
 }
 }
 
+bool reachesMinimum(const RunningQuery &query)
+{
+    std::uint64_t covered = 0;
+    for (std::size_t index = 0; index < query.shards.size(); ++index) {
+        covered += query.shards[index].covered ? query.layout->shards[index].weight : 0;
+    }
+    const auto total = static_cast<double>(query.layout->totalWeight());
+    return static_cast<double>(covered) >= query.request.minimumCoverage * total;
+}
+
 void answerIfComplete(ReduceContext &context, RunningQuery &query)
 {
-    const bool waiting = std::any_of(query.shards.begin(), query.shards.end(), [](const ShardProgress &shard) {
-        return !shard.waiting.empty();
-    });
-    if (!waiting) {
+    const bool complete = query.shardsCovered == query.shards.size();
+    const bool exhausted = query.attemptsWaiting == 0 && !retriesLater(context, query);
+    if (complete || exhausted || (query.targetPassed && reachesMinimum(query))) {
         finishQuery(context, query);
     }
 }
@@ -80,22 +126,21 @@
     QueryState &state = context.state.query;
     const auto found = state.attempts.find(event.attempt);
     if (found == state.attempts.end()) {
-        context.emit(CountMetric{Metric::DroppedReplies, "late"});
+        context.emit(CountMetric{Metric::DroppedReplies, orphanCause(state, event.attempt)});
         return;
     }
     const Attempt attempt = takeAttempt(state, found);
     RunningQuery &query = state.queries.at(attempt.query);
-    query.shards[attempt.shardIndex].waiting.erase(event.attempt);
-    noteReply(context, attempt, event.reply);
-    if (!matches(query, attempt, event)) {
-        context.emit(CountMetric{Metric::DroppedReplies, "foreign"});
-        retryOrGiveUp(context, query, attempt.shardIndex, Failure{Step::Gather, attempt.searcher, FailureKind::BadReply, "the reply has another identity"});
-    } else if (event.reply.status != SubReplyStatus::Ok) {
-        retryOrGiveUp(context, query, attempt.shardIndex, Failure{Step::Wait, attempt.searcher, failureOf(event.reply.status), {}});
-    } else if (event.reply.truncated) {
-        retryOrGiveUp(context, query, attempt.shardIndex, Failure{Step::Gather, attempt.searcher, FailureKind::Truncated, "the reply is truncated"});
+    query.mayHaveRun = true;
+    state.endedAttempts.noteReplied(event.attempt);
+    const char *mismatch = mismatchOf(query, attempt, event);
+    if (mismatch != nullptr) {
+        noteCancelled(context, attempt);
+        context.emit(CountMetric{Metric::DroppedReplies, mismatch});
+        retryShard(context, query, attempt.shardIndex, Failure{Step::Gather, attempt.searcher, FailureKind::BadReply, "the reply has another identity"}, true);
     } else {
-        cover(context, query, attempt.shardIndex, event.reply);
+        learn(context, attempt, event);
+        gather(context, query, attempt, event.reply);
     }
     answerIfComplete(context, query);
 }
@@ -109,9 +154,9 @@
     }
     const Attempt attempt = takeAttempt(state, found);
     RunningQuery &query = state.queries.at(attempt.query);
-    query.shards[attempt.shardIndex].waiting.erase(event.attempt);
+    query.mayHaveRun = query.mayHaveRun || event.sent;
     noteFailure(context, attempt, event.failure);
-    retryOrGiveUp(context, query, attempt.shardIndex, event.failure);
+    retryShard(context, query, attempt.shardIndex, event.failure, event.sent);
     answerIfComplete(context, query);
 }
 }
--- /dev/null
+++ b/src/quetzallift/query/latencyestimate.cpp
@@ -0,0 +1,51 @@
+#include "quetzallift/query/latencyestimate.h"
+
+namespace Quetzallift
+{
+namespace
+{
+namespace acc = boost::accumulators;
+
+// With a budget of 5% a lower quantile spends the budget on ordinary replies; docs/design/hedging.md has the figures.
+constexpr double TailQuantile = 0.97;
+// About 28 queries of 74 shards: 60 samples lie above the tail, and a change of load is followed within a second.
+constexpr std::size_t WindowSamples = 2048;
+// Fewer samples leave no two samples above the tail quantile.
+constexpr std::size_t FirstSamples = 64;
+
+template<typename Quantile>
+Duration valueOf(const Quantile &quantile)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::micro>(acc::p_square_quantile(quantile)));
+}
+}
+
+LatencyEstimate::LatencyEstimate()
+    : m_median(acc::quantile_probability = 0.5)
+    , m_tail(acc::quantile_probability = TailQuantile)
+{ }
+
+void LatencyEstimate::add(Duration latency)
+{
+    const double micros = std::chrono::duration<double, std::micro>(latency).count();
+    m_median(micros);
+    m_tail(micros);
+    if (acc::count(m_tail) < WindowSamples) {
+        return;
+    }
+    m_lastMedian = valueOf(m_median);
+    m_lastTail = valueOf(m_tail);
+    m_median = Quantile(acc::quantile_probability = 0.5);
+    m_tail = Quantile(acc::quantile_probability = TailQuantile);
+}
+
+std::optional<Duration> LatencyEstimate::median() const
+{
+    return m_lastMedian || acc::count(m_median) < FirstSamples ? m_lastMedian : valueOf(m_median);
+}
+
+std::optional<Duration> LatencyEstimate::tail() const
+{
+    return m_lastTail || acc::count(m_tail) < FirstSamples ? m_lastTail : valueOf(m_tail);
+}
+}
--- /dev/null
+++ b/src/quetzallift/query/latencyestimate.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "quetzallift/model/time.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <optional>
+
+namespace Quetzallift
+{
+// Running quantiles of sub-request latencies. The P-square estimator never forgets, so the samples are split into
+// windows: quantiles come from the last full window, or from the first one once it has enough samples.
+class LatencyEstimate
+{
+public:
+    LatencyEstimate();
+
+    // Adds a latency, or the time that a cancelled attempt had waited. Without the latter the slow attempts that hedges
+    // replace would be missing, and the quantile would sink with each window.
+    void add(Duration latency);
+
+    // The latency that half of the sub-requests stay below; empty until enough samples came.
+    std::optional<Duration> median() const;
+
+    // The latency above which a sub-request is a straggler; empty until enough samples came.
+    std::optional<Duration> tail() const;
+
+private:
+    using Quantile =
+        boost::accumulators::accumulator_set<double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::p_square_quantile>>;
+
+    Quantile m_median;
+    Quantile m_tail;
+    std::optional<Duration> m_lastMedian;
+    std::optional<Duration> m_lastTail;
+};
+}
--- a/src/quetzallift/query/plan.h
+++ b/src/quetzallift/query/plan.h
@@ -1,13 +1,10 @@
 #pragma once
 
-#include <string>
-
 namespace Quetzallift
 {
 struct QueryState;
 struct RunningQuery;
 
-// Pins the newest snapshot that every shard is known to serve and lays the query out over its shards. Returns false if
-// the back end has no layout.
-bool plan(const QueryState &state, RunningQuery &query);
+// Pins a snapshot and lays the query out over the shards of its layout. Returns false if the back end has no shards.
+bool plan(QueryState &state, RunningQuery &query);
 }
--- a/src/quetzallift/query/scatter.cpp
+++ b/src/quetzallift/query/scatter.cpp
@@ -2,32 +2,39 @@
 
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/searcherpool.h"
+#include "quetzallift/query/straggler.h"
 
 namespace Quetzallift
 {
-bool sendToUntriedReplica(ReduceContext &context, RunningQuery &query, std::size_t shardIndex)
+void sendToReplica(ReduceContext &context, RunningQuery &query, std::size_t shardIndex, const std::string &replica)
 {
     QueryState &state = context.state.query;
     ShardProgress &progress = query.shards[shardIndex];
-    const std::string *replica = chooseReplica(context, query, shardIndex);
-    if (replica == nullptr) {
-        return false;
-    }
     const AttemptId id{++state.lastAttempt};
-    state.attempts[id] = Attempt{query.id, shardIndex, *replica, {}};
-    progress.tried.insert(*replica);
+    state.attempts[id] = Attempt{query.id, shardIndex, replica, {}, context.now};
+    progress.tried.insert(replica);
     progress.waiting.insert(id);
+    ++query.attemptsWaiting;
     startAttempt(context, query, id);
-    return true;
 }
 
 void scatter(ReduceContext &context, RunningQuery &query)
 {
     for (std::size_t index = 0; index < query.shards.size(); ++index) {
-        if (!sendToUntriedReplica(context, query, index)) {
+        const std::string *replica = chooseReplica(context, query, index);
+        if (replica != nullptr) {
+            sendToReplica(context, query, index, *replica);
+        } else {
             query.shards[index].lastFailure = Failure{Step::Plan, {}, FailureKind::NotSent, "no replica may get new work"};
         }
     }
-    context.emit(CountMetric{Metric::SubRequests, query.request.backEnd, static_cast<double>(query.shards.size())});
+    context.emit(CountMetric{Metric::SubRequests, query.request.backEnd, static_cast<double>(query.attemptsWaiting)});
+    if (query.restarts == 0) {
+        const BackEndPolicy &policy = query.backEnd->policy;
+        BackEndView &view = context.state.query.backEnds[query.request.backEnd];
+        view.hedges.deposit(policy.hedgeBudget * static_cast<double>(query.attemptsWaiting));
+        view.retries.deposit(policy.retryBudget * static_cast<double>(query.attemptsWaiting));
+    }
+    scheduleStragglerCheck(context, query);
 }
 }
--- a/src/quetzallift/query/scatter.h
+++ b/src/quetzallift/query/scatter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <string>
 
 namespace Quetzallift
 {
@@ -10,6 +11,6 @@
 // Sends one sub-request for each shard of a planned query.
 void scatter(ReduceContext &context, RunningQuery &query);
 
-// Sends a sub-request for one shard to a replica that was not tried. Returns false if there is none.
-bool sendToUntriedReplica(ReduceContext &context, RunningQuery &query, std::size_t shardIndex);
+// Sends a sub-request for one shard to a replica.
+void sendToReplica(ReduceContext &context, RunningQuery &query, std::size_t shardIndex, const std::string &replica);
 }
--- a/src/quetzallift/query/searcherpool.cpp
+++ b/src/quetzallift/query/searcherpool.cpp
@@ -17,7 +17,7 @@
     request.snapshot = query.snapshot;
     request.key = query.request.key;
     request.text = query.request.text;
-    request.deadline = query.deadline;
+    request.deadline = query.subRequestsUntil;
     return request;
 }
 
--- a/tests/query/gather_test.cpp
+++ b/tests/query/gather_test.cpp
@@ -1,4 +1,5 @@
 #include "tests/query/queryfixture.h"
+#include "tests/query/simulationfixture.h"
 
 #include <criterion/criterion.h>
 
@@ -48,3 +49,73 @@
     fixture.replyOk(fixture.sent().at(1));
     cr_assert(fixture.answers().at(0).answer.status == AnswerStatus::Whole);
 }
+
+// Guards against a truncated reply that counts as covered, or that is not tried elsewhere.
+Test(gather, truncatedReplyIsRetriedAndElseListed)
+{
+    SimulationFixture fixture(2);
+    fixture.simulation.outcome = [](const SendSubRequest &send) {
+        return send.searcher == "s0r0" ? Outcome{OutcomeKind::Truncated} : Outcome{};
+    };
+    cr_assert(fixture.run(1).status == AnswerStatus::Whole);
+    fixture.simulation.outcome = [](const SendSubRequest &send) {
+        return send.request.shard.value == 0 ? Outcome{OutcomeKind::Truncated} : Outcome{};
+    };
+    const QueryAnswer &answer = fixture.run(2, true, 0.5);
+    cr_assert(answer.status == AnswerStatus::Partial);
+    cr_assert_eq(answer.coverage.weightCovered, 2U);
+    cr_assert_eq(answer.rows.size(), 3U);
+    cr_assert(answer.missing.at(0).failure.kind == FailureKind::Truncated);
+}
+
+// Guards against a doubled or late reply that counts twice in coverage or rows.
+Test(gather, doubledRepliesCountOnce)
+{
+    SimulationFixture fixture(3);
+    fixture.simulation.outcome = [](const SendSubRequest &) {
+        return Outcome{OutcomeKind::Doubled};
+    };
+    const QueryAnswer &answer = fixture.run(1);
+    cr_assert_eq(answer.coverage.shardsCovered, 3U);
+    cr_assert_eq(answer.rows.size(), 6U);
+    cr_assert_eq(fixture.labels["doubled"], 3.0);
+}
+
+// Guards against "not run" for a request that may have reached a searcher, and "may have run" for one that cannot have.
+Test(gather, notRunIsSaidOnlyIfNothingWasSent)
+{
+    for (const OutcomeKind kind : {OutcomeKind::Refuse, OutcomeKind::Reset, OutcomeKind::Silent, OutcomeKind::Crossed}) {
+        SimulationFixture fixture(2);
+        fixture.simulation.outcome = [kind](const SendSubRequest &) {
+            return Outcome{kind, std::chrono::milliseconds(1)};
+        };
+        cr_assert(fixture.run(1).execution == (kind == OutcomeKind::Refuse ? Execution::NotRun : Execution::MayHaveRun));
+    }
+}
+
+// Guards against a latency-first answer that comes late or below the minimum, and a coverage-first one that leaves early.
+Test(gather, policyDecidesWhatWinsAtTheTarget)
+{
+    for (const DeadlinePreference preference : {DeadlinePreference::Latency, DeadlinePreference::Coverage}) {
+        SimulationFixture fixture(4, 2, preference);
+        fixture.simulation.outcome = [](const SendSubRequest &send) {
+            return send.request.shard.value == 0 ? Outcome{OutcomeKind::Silent} : Outcome{};
+        };
+        const TimePoint start = fixture.simulation.now();
+        cr_assert(fixture.run(1, true, 0.5).status == AnswerStatus::Partial);
+        const Duration took = fixture.simulation.answers.at({1}).at(0).at - start;
+        const Duration limit = preference == DeadlinePreference::Latency ? std::chrono::milliseconds(95) : std::chrono::milliseconds(500);
+        cr_assert_lt(took.count(), limit.count());
+        cr_assert_gt(took.count(), (limit * 9 / 10).count());
+        cr_assert(fixture.run(2, true, 1.0).status == AnswerStatus::Failed);
+    }
+}
+
+// Guards against a searcher that works past the instant at which its reply is of use.
+Test(gather, subRequestsEndBeforeTheAnswerLeaves)
+{
+    SimulationFixture fixture(1);
+    fixture.run(1);
+    cr_assert_lt(fixture.sent.at(0).request.deadline.time_since_epoch().count(),
+                 (TimePoint(std::chrono::hours(1)) + SimulationFixture::request(1).deadline).time_since_epoch().count());
+}
--- /dev/null
+++ b/tests/query/straggler_test.cpp
@@ -0,0 +1,84 @@
+#include "tests/query/simulationfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Quetzallift;
+using namespace std::chrono_literals;
+
+namespace
+{
+// Replies in 5 ms, but for a share of attempts given as one in a number, which take 80 ms.
+std::function<Outcome(const SendSubRequest &)> oneIn(std::uint64_t number)
+{
+    return [number](const SendSubRequest &send) {
+        return Outcome{OutcomeKind::Ok, send.attempt.value % number == 0 ? 80ms : 5ms};
+    };
+}
+}
+
+// Guards against a query that waits for a straggler although another replica would reply, and a loser that runs on.
+Test(straggler, isHedgedAndTheLoserCancelled)
+{
+    SimulationFixture fixture(74);
+    fixture.run(1);
+    fixture.simulation.outcome = oneIn(100);
+    for (std::uint64_t query = 2; query < 60; ++query) {
+        const TimePoint start = fixture.simulation.now();
+        cr_assert(fixture.run(query).status == AnswerStatus::Whole);
+        cr_assert_lt((fixture.simulation.answers.at({query}).at(0).at - start).count(), Duration(40ms).count());
+    }
+    cr_assert_gt(fixture.counts[Metric::Hedges], 30.0);
+    cr_assert(fixture.simulation.state.query.attempts.empty());
+}
+
+// Guards against hedges that add load without bound when many replies are slow at once.
+Test(straggler, hedgesStayWithinTheBudget)
+{
+    SimulationFixture fixture(20, 3);
+    fixture.run(1);
+    fixture.simulation.outcome = oneIn(2);
+    for (std::uint64_t query = 2; query < 200; ++query) {
+        fixture.run(query);
+    }
+    cr_assert_leq(fixture.counts[Metric::Hedges], 0.05 * fixture.counts[Metric::SubRequests] + BackEndView::HedgeBurst);
+    cr_assert_leq(fixture.counts[Metric::Retries], 0.1 * fixture.counts[Metric::SubRequests] + BackEndView::RetryBurst);
+}
+
+// Guards against retries that multiply the load of a failing back end.
+Test(straggler, retriesStayWithinTheBudget)
+{
+    SimulationFixture fixture(20, 3);
+    fixture.simulation.outcome = [](const SendSubRequest &) {
+        return Outcome{OutcomeKind::Reset, 1ms};
+    };
+    for (std::uint64_t query = 1; query < 100; ++query) {
+        cr_assert(fixture.run(query).execution == Execution::MayHaveRun);
+    }
+    cr_assert_leq(fixture.counts[Metric::Retries], 0.1 * fixture.counts[Metric::SubRequests] + BackEndView::RetryBurst);
+}
+
+// Guards against one timer for each sub-request, whose cost grows with the number of shards.
+Test(straggler, oneCheckTimerServesAllShards)
+{
+    SimulationFixture fixture(74);
+    int timers = 0;
+    fixture.simulation.observe = [&timers](const Event &, const Effects &effects) {
+        for (const Effect &effect : effects) {
+            timers += std::holds_alternative<StartTimer>(effect) ? 1 : 0;
+        }
+    };
+    fixture.run(1);
+    cr_assert_leq(timers, 3);
+}
+
+// Guards against hedges that the hook turns off.
+Test(straggler, hookTurnsHedgesOff)
+{
+    SimulationFixture fixture(74);
+    fixture.simulation.state.hooks.hedgeDelay = [](const LatencyEstimate &, const BackEndPolicy &) {
+        return std::optional<Duration>();
+    };
+    fixture.simulation.outcome = oneIn(50);
+    cr_assert(fixture.run(1).status == AnswerStatus::Whole);
+    cr_assert_eq(fixture.counts[Metric::Hedges], 0.0);
+}
