--- a/src/quetzallift/core/hooks.h
+++ b/src/quetzallift/core/hooks.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "quetzallift/model/time.h"
+#include "quetzallift/query/hedgedelay.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace Quetzallift
@@ -28,5 +30,8 @@
     std::function<std::string(const RolloutRecord &, const Bundle &)> refusalOf = [](const RolloutRecord &, const Bundle &) {
         return std::string();
     };
+
+    // How long an attempt may wait before another replica is asked too; empty means that no other replica is asked.
+    std::function<std::optional<Duration>(const LatencyEstimate &, const BackEndPolicy &)> hedgeDelay = learnedHedgeDelay;
 };
 }
