Limit work at searchers and admit queries adaptively

A traffic thread sent every sub-request at once and admitted every query, so an overload filled the searchers' queues until nothing was answered in time.

Each searcher now has connections in parts by thread, a learned window, a queue by deadline, aged observations, ejection, draining with health probes and slow start. Each back end has an adaptive limit of running queries with weighted shares for callers. Hooks select the earlier behaviour for comparison.

--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -33,6 +33,8 @@
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
     };
+    m_loop.state().query.place = {number, settings.host.trafficThreads};
+    m_loop.state().query.dataCentre = settings.host.dataCentre;
     m_loop.setEffectHandler([this](const Effect &effect) {
         carryOut(effect);
     });
@@ -123,6 +125,8 @@
         m_searchers.send(*send);
     } else if (const auto *cancel = std::get_if<CancelSubRequest>(&effect)) {
         m_searchers.cancel(*cancel);
+    } else if (const auto *probe = std::get_if<ProbeSearcher>(&effect)) {
+        m_searchers.probe(*probe);
     } else if (const auto *sendAnswer = std::get_if<SendAnswer>(&effect)) {
         answer(*sendAnswer);
     } else if (const auto *recorded = std::get_if<SendRecordedAnswer>(&effect)) {
--- a/src/quetzallift/core/effect.h
+++ b/src/quetzallift/core/effect.h
@@ -30,6 +30,7 @@
 
 using Effect = std::variant<SendSubRequest,
                             CancelSubRequest,
+                            ProbeSearcher,
                             SendAnswer,
                             SendRecordedAnswer,
                             RequestClaim,
--- a/src/quetzallift/core/hooks.h
+++ b/src/quetzallift/core/hooks.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "quetzallift/query/querylimit.h"
+#include "quetzallift/query/replicachoice.h"
+#include "quetzallift/query/window.h"
+
 #include <cstdint>
 #include <functional>
 
@@ -11,5 +15,13 @@
     std::function<std::uint64_t()> random = [] {
         return std::uint64_t{0};
     };
+    // Chooses one of the replicas that may get a sub-request; gets the random hook.
+    std::function<std::size_t(const std::vector<ReplicaCandidate> &, const std::function<std::uint64_t()> &)> chooseReplica = leastExpectedTime;
+    // How many sub-requests may be in flight at a searcher.
+    std::function<Window(const WindowSample &)> searcherWindow = adaptWindow;
+    // How many queries to a back end may run at a time.
+    std::function<double(const QueryLimitSample &)> queryLimit = adaptQueryLimit;
+    // Whether a query that is expected to take this long may still run with this deadline.
+    std::function<bool(Duration expected, Duration deadline)> meetsDeadline = expectedInTime;
 };
 }
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -16,6 +16,10 @@
     case TimerKind::LatencyTarget:
         handleQueryTimer(context, event.timer);
         break;
+    case TimerKind::SearcherQueue:
+    case TimerKind::SearcherProbe:
+        handleSearcherTimer(context, event.timer);
+        break;
     case TimerKind::PlatformRetry:
     case TimerKind::HostListPoll:
     case TimerKind::StopLimit:
@@ -53,6 +57,10 @@
     {
         handleSubRequestFailed(context, event);
     }
+    void operator()(const SearcherProbed &event)
+    {
+        handleSearcherProbed(context, event);
+    }
     void operator()(const ControlSnapshotPublished &event)
     {
         handleControlSnapshot(context, event);
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -7,6 +7,8 @@
 enum class TimerKind {
     QueryDeadline,
     LatencyTarget,
+    SearcherQueue,
+    SearcherProbe,
     PlatformRetry,
     HostListPoll,
     StopLimit,
--- a/src/quetzallift/edge/httpclient.cpp
+++ b/src/quetzallift/edge/httpclient.cpp
@@ -80,6 +80,7 @@
     curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.closeAfter ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     const auto timeout = std::max(std::chrono::ceil<std::chrono::milliseconds>(request.timeout), std::chrono::milliseconds(1));
--- a/src/quetzallift/edge/httpclient.h
+++ b/src/quetzallift/edge/httpclient.h
@@ -21,6 +21,8 @@
     // Lines of the form "Name: value".
     std::vector<std::string> headers;
     Duration timeout = std::chrono::seconds(1);
+    // True if the connection must not be kept for another request.
+    bool closeAfter = false;
 };
 
 enum class HttpOutcome {
--- a/src/quetzallift/edge/searchcodec.cpp
+++ b/src/quetzallift/edge/searchcodec.cpp
@@ -62,4 +62,10 @@
     }
     return reply;
 }
+
+bool decodeHealth(const std::string &body)
+{
+    const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+    return document.is_object() && document.value("status", nlohmann::json()) == "ok";
+}
 }
--- a/src/quetzallift/edge/searchcodec.h
+++ b/src/quetzallift/edge/searchcodec.h
@@ -11,4 +11,7 @@
 
 // Reads the JSON body of a searcher's reply. Throws Error that names the searcher and the field.
 SubReply decodeSubReply(const std::string &body, const std::string &searcher);
+
+// True if the body of a health page says that the searcher takes work.
+bool decodeHealth(const std::string &body);
 }
--- a/src/quetzallift/edge/searcherclient.cpp
+++ b/src/quetzallift/edge/searcherclient.cpp
@@ -40,6 +40,7 @@
     request.body = encodeSubRequest(effect.request, effect.attempt, now);
     request.headers = {"Content-Type: application/json"};
     request.timeout = effect.request.deadline - now;
+    request.closeAfter = effect.closeAfter;
     m_transfers[effect.attempt] = m_http.send(std::move(request), [this, attempt = effect.attempt, searcher = effect.searcher](const HttpResult &result) {
         complete(attempt, searcher, result);
     });
@@ -54,6 +55,17 @@
     }
 }
 
+void SearcherClient::probe(const ProbeSearcher &effect)
+{
+    HttpRequest request;
+    request.url = "http://" + effect.searcher + "/health";
+    request.timeout = effect.timeout;
+    m_http.send(std::move(request), [this, searcher = effect.searcher](const HttpResult &result) {
+        const bool healthy = result.outcome == HttpOutcome::Responded && result.status == StatusOk && decodeHealth(result.body);
+        m_loop.dispatch(SearcherProbed{searcher, healthy});
+    });
+}
+
 void SearcherClient::complete(AttemptId attempt, const std::string &searcher, const HttpResult &result)
 {
     m_transfers.erase(attempt);
--- a/src/quetzallift/edge/searcherclient.h
+++ b/src/quetzallift/edge/searcherclient.h
@@ -9,7 +9,7 @@
 {
 class EventLoop;
 
-// Carries out SendSubRequest and CancelSubRequest, and turns what comes back into events of the loop.
+// Carries out SendSubRequest, CancelSubRequest and ProbeSearcher, and turns what comes back into events of the loop.
 class SearcherClient
 {
 public:
@@ -17,6 +17,7 @@
 
     void send(const SendSubRequest &effect);
     void cancel(const CancelSubRequest &effect);
+    void probe(const ProbeSearcher &effect);
 
 private:
     void complete(AttemptId attempt, const std::string &searcher, const HttpResult &result);
--- a/src/quetzallift/model/metric.h
+++ b/src/quetzallift/model/metric.h
@@ -18,6 +18,24 @@
     DroppedReplies,
     // Failed sub-requests; labelled by failure kind.
     SubRequestFailures,
+    // Sub-requests that waited for a connection or the window; labelled by back end.
+    QueuedSubRequests,
+    // Sub-requests taken from the queue of one searcher and given to another; labelled by back end.
+    RedirectedSubRequests,
+    // Connections opened to searchers; labelled by back end.
+    ConnectionsOpened,
+    // Sub-requests that searchers shed; labelled by back end.
+    ShedSubRequests,
+    // Sub-requests sent to another data centre; labelled by back end.
+    FarSubRequests,
+    // Searchers ejected; labelled by cause.
+    Ejections,
+    // Searchers that get no new work because they leave; labelled by the sign.
+    SearchersDraining,
+    // Searchers that were draining and are used again; labelled by back end.
+    SearchersBack,
+    // Queries refused; labelled by cause.
+    Refusals,
     // Bundles adopted.
     BundlesAdopted,
     // Calls to the platform; labelled by outcome.
--- a/src/quetzallift/query/admit.cpp
+++ b/src/quetzallift/query/admit.cpp
@@ -1,36 +1,125 @@
 #include "quetzallift/query/admit.h"
 
 #include "quetzallift/core/reducecontext.h"
+#include "quetzallift/query/fairshare.h"
+#include "quetzallift/query/queryestimate.h"
+
+#include <algorithm>
+#include <cmath>
 
 namespace Quetzallift
 {
 namespace
 {
-// Why the query may not run, or empty if it may.
-std::string admissionError(const QueryState &state, const QueryRequest &request)
+// Why a query may not run: the label of the counter and the text for the caller. No cause means that it may.
+struct Refusal {
+    const char *cause = nullptr;
+    std::string reason;
+};
+
+Refusal checkConfiguration(const QueryState &state, const QueryRequest &request)
 {
     if (state.stopping) {
-        return "this entry host is leaving";
+        return {"stopping", "this entry host is leaving"};
     }
     if (!state.control || !state.control->bundle) {
-        return "no bundle is in force on this entry host";
+        return {"no_bundle", "no bundle is in force on this entry host"};
     }
     const Bundle &bundle = *state.control->bundle;
     const CallerPolicy *caller = bundle.caller(request.caller);
     if (caller == nullptr) {
-        return "caller '" + request.caller + "' is not in the bundle";
+        return {"caller", "caller '" + request.caller + "' is not in the bundle"};
     }
     if (bundle.backEnd(request.backEnd) == nullptr) {
-        return "back end '" + request.backEnd + "' is not in the bundle";
+        return {"back_end", "back end '" + request.backEnd + "' is not in the bundle"};
     }
     if (!caller->mayQuery(request.backEnd)) {
-        return "caller '" + request.caller + "' may not query back end '" + request.backEnd + "'";
+        return {"caller", "caller '" + request.caller + "' may not query back end '" + request.backEnd + "'"};
     }
     if (request.deadline > bundle.backEnd(request.backEnd)->policy.maximumDeadline) {
-        return "the deadline exceeds the maximum of back end '" + request.backEnd + "'";
+        return {"deadline", "the deadline exceeds the maximum of back end '" + request.backEnd + "'"};
     }
     return {};
 }
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::ceil<std::chrono::milliseconds>(duration).count()) + " ms";
+}
+
+std::string useOf(const BackEndLoad &load, unsigned running)
+{
+    return std::to_string(running) + " of " + std::to_string(std::lround(load.limit)) + " queries running";
+}
+
+// Checks the limit of the back end and the caller's share of it.
+Refusal checkLimit(ReduceContext &context, const QueryRequest &request)
+{
+    QueryState &state = context.state.query;
+    BackEndLoad &load = state.loads[request.backEnd];
+    noteArrival(load, request.caller, state.control->bundle->caller(request.caller)->share, context.now);
+    switch (fairVerdict(load, request.caller, context.now)) {
+    case LimitVerdict::Admitted:
+        return {};
+    case LimitVerdict::BackEndFull:
+        return {"limit", "back end '" + request.backEnd + "' is at its limit: " + useOf(load, load.running)};
+    case LimitVerdict::OverShare:
+        break;
+    }
+    return {"share",
+            "caller '" + request.caller + "' is over its share of back end '" + request.backEnd + "': " + useOf(load, load.callers[request.caller].running)};
+}
+
+// Checks that the present queues leave enough time.
+Refusal checkDeadline(ReduceContext &context, const QueryRequest &request)
+{
+    const QueryState &state = context.state.query;
+    // A query that runs alone is always tried: without queries nothing would correct a wrong estimate.
+    if (state.loads.at(request.backEnd).running == 0) {
+        return {};
+    }
+    const Duration expected = estimateQuery(context, *state.control->bundle->backEnd(request.backEnd));
+    if (context.state.hooks.meetsDeadline(expected, request.deadline)) {
+        return {};
+    }
+    return {"late", "an answer is expected after " + milliseconds(expected) + " but the deadline is " + milliseconds(request.deadline)};
+}
+
+Refusal checkAll(ReduceContext &context, const QueryRequest &request)
+{
+    Refusal refusal = checkConfiguration(context.state.query, request);
+    if (refusal.cause == nullptr) {
+        refusal = checkLimit(context, request);
+    }
+    if (refusal.cause == nullptr) {
+        refusal = checkDeadline(context, request);
+    }
+    return refusal;
+}
+
+// Takes in the latency of an ended query. One that ends without every shard counts only if it took long.
+void observeQuery(ReduceContext &context, const RunningQuery &query, BackEndLoad &load)
+{
+    const Seconds latency = context.now - query.arrivedAt;
+    const bool whole = query.shardsCovered == query.shards.size();
+    if (!whole && latency <= load.latency.value) {
+        return;
+    }
+    load.latency.addCapped(latency, context.now);
+    load.baseline.add(load.latency, latency, context.now);
+    QueryLimitSample sample;
+    sample.limit = load.limit;
+    sample.running = load.running;
+    sample.latency = std::chrono::duration_cast<Duration>(load.latency.value);
+    sample.baseline = std::chrono::duration_cast<Duration>(load.baseline.value);
+    sample.target = std::min(query.backEnd->policy.latencyTarget, query.request.deadline);
+    sample.sinceLowered = context.now - load.limitLoweredAt;
+    const double limit = context.state.hooks.queryLimit(sample);
+    if (limit < load.limit) {
+        load.limitLoweredAt = context.now;
+    }
+    load.limit = limit;
+}
 }
 
 void refuse(ReduceContext &context, QueryId query, Step step, const std::string &reason)
@@ -49,11 +138,28 @@
 
 bool admit(ReduceContext &context, const QueryArrived &event)
 {
-    const std::string error = admissionError(context.state.query, event.request);
-    if (error.empty()) {
+    const Refusal refusal = checkAll(context, event.request);
+    if (refusal.cause == nullptr) {
         return true;
     }
-    refuse(context, event.query, Step::Admit, error);
+    context.emit(CountMetric{Metric::Refusals, refusal.cause});
+    refuse(context, event.query, Step::Admit, refusal.reason);
     return false;
 }
+
+void noteQueryStarted(ReduceContext &context, const RunningQuery &query)
+{
+    BackEndLoad &load = context.state.query.loads[query.request.backEnd];
+    ++load.running;
+    ++load.callers[query.request.caller].running;
+}
+
+void noteQueryEnded(ReduceContext &context, const RunningQuery &query)
+{
+    BackEndLoad &load = context.state.query.loads[query.request.backEnd];
+    observeQuery(context, query, load);
+    load.running -= std::min(load.running, 1U);
+    CallerLoad &caller = load.callers[query.request.caller];
+    caller.running -= std::min(caller.running, 1U);
+}
 }
--- a/src/quetzallift/query/arrive.cpp
+++ b/src/quetzallift/query/arrive.cpp
@@ -1,6 +1,7 @@
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/admit.h"
 #include "quetzallift/query/claim.h"
+#include "quetzallift/query/draining.h"
 #include "quetzallift/query/finish.h"
 #include "quetzallift/query/gather.h"
 #include "quetzallift/query/handlers.h"
@@ -59,6 +60,7 @@
         return;
     }
     RunningQuery &running = context.state.query.queries.emplace(query.id, std::move(query)).first->second;
+    noteQueryStarted(context, running);
     startTimers(context, running);
     if (!running.request.repeatable) {
         requestClaim(context, running);
@@ -79,6 +81,7 @@
 void handleControlSnapshot(ReduceContext &context, const ControlSnapshotPublished &event)
 {
     context.state.query.control = event.snapshot;
+    followHostList(context, *event.snapshot);
 }
 
 void handleQueryTimer(ReduceContext &context, const TimerKey &timer)
--- /dev/null
+++ b/src/quetzallift/query/draining.cpp
@@ -0,0 +1,95 @@
+#include "quetzallift/query/draining.h"
+
+#include "quetzallift/core/reducecontext.h"
+#include "quetzallift/query/connections.h"
+#include "quetzallift/query/handlers.h"
+#include "quetzallift/query/observe.h"
+#include "quetzallift/query/searcherqueue.h"
+
+#include <algorithm>
+
+namespace Quetzallift
+{
+namespace
+{
+// A searcher that restarts is back after about a second at the earliest.
+constexpr Duration FirstProbe = std::chrono::seconds(1);
+// The time between probes doubles up to 8 s, which bounds what many hosts ask of a searcher that stays away.
+constexpr unsigned MaximumDoublings = 3;
+constexpr Duration ProbeTimeout = std::chrono::milliseconds(500);
+
+// Half of the interval is random, so that hosts which lost a searcher together do not probe it together.
+void scheduleProbe(ReduceContext &context, const SearcherView &view)
+{
+    constexpr std::uint64_t Steps = 64;
+    const Duration interval = FirstProbe * (1U << std::min(view.probesFailed, MaximumDoublings));
+    const Duration jitter = interval * static_cast<Duration::rep>(context.state.hooks.random() % Steps) / static_cast<Duration::rep>(Steps);
+    context.emit(StartTimer{{TimerKind::SearcherProbe, view.number}, context.now + interval / 2 + jitter / 2});
+}
+}
+
+void startDraining(ReduceContext &context, SearcherView &view, const char *sign)
+{
+    if (view.draining) {
+        return;
+    }
+    view.draining = true;
+    view.probesFailed = 0;
+    context.emit(CountMetric{Metric::SearchersDraining, sign});
+    context.emit(WriteLog{{LogLevel::Info, Step::Wait, view.address, {}, std::string("searcher gets no new work: ") + sign}});
+    wakeQueue(context, view, context.now);
+    scheduleProbe(context, view);
+}
+
+void followHostList(ReduceContext &context, const ControlSnapshot &snapshot)
+{
+    for (auto &[address, view] : context.state.query.searchers) {
+        view.listedLeaving = snapshot.leavingSearchers.contains(address);
+        if (view.listedLeaving) {
+            startDraining(context, view, "host list");
+        }
+    }
+    for (const std::string &address : snapshot.leavingSearchers) {
+        for (const auto &[name, backEnd] : snapshot.bundle ? snapshot.bundle->backEnds : std::map<std::string, BackEnd>{}) {
+            if (backEnd.searchers.contains(address)) {
+                SearcherView &view = viewOf(context, backEnd, address);
+                view.listedLeaving = true;
+                startDraining(context, view, "host list");
+            }
+        }
+    }
+}
+
+void probeIfDraining(ReduceContext &context, SearcherView &view)
+{
+    if (!view.draining || view.probing) {
+        return;
+    }
+    const ConnectionPart part = connectionPart(context.state.query, view.address, context.now);
+    // A health page that says otherwise than the host list is stale more often than the list is.
+    if (view.listedLeaving || view.inFlight >= part.connections) {
+        scheduleProbe(context, view);
+        return;
+    }
+    view.probing = true;
+    context.emit(ProbeSearcher{view.address, ProbeTimeout});
+}
+
+void handleSearcherProbed(ReduceContext &context, const SearcherProbed &event)
+{
+    const auto found = context.state.query.searchers.find(event.searcher);
+    if (found == context.state.query.searchers.end() || !found->second.probing) {
+        return;
+    }
+    SearcherView &view = found->second;
+    view.probing = false;
+    if (!event.healthy || view.listedLeaving) {
+        ++view.probesFailed;
+        scheduleProbe(context, view);
+        return;
+    }
+    view.draining = false;
+    startCold(context, view);
+    context.emit(CountMetric{Metric::SearchersBack, view.backEnd});
+}
+}
--- a/src/quetzallift/query/effects.h
+++ b/src/quetzallift/query/effects.h
@@ -14,6 +14,14 @@
     AttemptId attempt;
     std::string searcher;
     SubRequest request;
+    // True if the connection must not be used again after this sub-request.
+    bool closeAfter = false;
+};
+
+// Asks a searcher's health page whether it takes work again. SearcherProbed tells the result.
+struct ProbeSearcher {
+    std::string searcher;
+    Duration timeout = std::chrono::seconds(1);
 };
 
 // Closes the connection of a sub-request, which tells the searcher to stop.
--- a/src/quetzallift/query/events.h
+++ b/src/quetzallift/query/events.h
@@ -34,6 +34,13 @@
     bool sent = true;
 };
 
+// A searcher's health page answered, or did not.
+struct SearcherProbed {
+    std::string searcher;
+    // True only if the searcher says that it takes work.
+    bool healthy = false;
+};
+
 // The control thread published new decisions.
 struct ControlSnapshotPublished {
     ControlSnapshotPtr snapshot;
--- /dev/null
+++ b/src/quetzallift/query/fairshare.cpp
@@ -0,0 +1,79 @@
+#include "quetzallift/query/fairshare.h"
+
+#include "quetzallift/query/admissionstate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Quetzallift
+{
+namespace
+{
+// A caller without arrivals for this time lends its whole share.
+constexpr Duration ActiveTime = std::chrono::seconds(2);
+constexpr Duration PeakHalfLife = std::chrono::seconds(1);
+// Kept free beyond a caller's recent peak for its next burst.
+constexpr double BurstRoom = 2.0;
+// A caller within its share may exceed the limit by this factor: the excess drains as borrowed queries end.
+constexpr double Overdraft = 1.25;
+
+bool isActive(const CallerLoad &caller, TimePoint now)
+{
+    return caller.running > 0 || now - caller.lastArrival < ActiveTime;
+}
+
+double peakNow(const CallerLoad &caller, TimePoint now)
+{
+    return caller.recentPeak * std::exp2(-(Seconds(now - caller.peakAt) / Seconds(PeakHalfLife)));
+}
+
+double activeShares(const BackEndLoad &load, TimePoint now)
+{
+    double sum = 0.0;
+    for (const auto &[name, caller] : load.callers) {
+        sum += isActive(caller, now) ? caller.share : 0.0;
+    }
+    return sum;
+}
+
+// What is kept free for the other active callers: their share, as far as they are expected to use it.
+double reservedForOthers(const BackEndLoad &load, const std::string &self, double shares, TimePoint now)
+{
+    double reserved = 0.0;
+    for (const auto &[name, caller] : load.callers) {
+        if (name != self && isActive(caller, now)) {
+            const double fair = load.limit * caller.share / shares;
+            reserved += std::max(0.0, std::min(fair, peakNow(caller, now) + BurstRoom) - caller.running);
+        }
+    }
+    return reserved;
+}
+}
+
+void noteArrival(BackEndLoad &load, const std::string &caller, double share, TimePoint now)
+{
+    CallerLoad &entry = load.callers[caller];
+    entry.share = share;
+    entry.lastArrival = now;
+    const double wanted = entry.running + 1.0;
+    if (wanted >= peakNow(entry, now)) {
+        entry.recentPeak = wanted;
+        entry.peakAt = now;
+    }
+}
+
+LimitVerdict fairVerdict(const BackEndLoad &load, const std::string &caller, TimePoint now)
+{
+    const CallerLoad &self = load.callers.at(caller);
+    const double shares = activeShares(load, now);
+    const double fair = load.limit * self.share / std::max(shares, self.share);
+    const double running = load.running + 1.0;
+    if (self.running + 1.0 <= fair && running <= load.limit * Overdraft) {
+        return LimitVerdict::Admitted;
+    }
+    if (running + reservedForOthers(load, caller, shares, now) <= load.limit) {
+        return LimitVerdict::Admitted;
+    }
+    return self.running + 1.0 > fair && shares > self.share ? LimitVerdict::OverShare : LimitVerdict::BackEndFull;
+}
+}
--- a/src/quetzallift/query/finish.cpp
+++ b/src/quetzallift/query/finish.cpp
@@ -1,6 +1,7 @@
 #include "quetzallift/query/finish.h"
 
 #include "quetzallift/core/reducecontext.h"
+#include "quetzallift/query/admit.h"
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/searcherpool.h"
 
@@ -118,6 +119,7 @@
     for (ShardProgress &shard : query.shards) {
         cancelWaiting(context, shard);
     }
+    noteQueryEnded(context, query);
     context.state.query.queries.erase(query.id);
     reportStopped(context);
 }
--- a/src/quetzallift/query/handlers.h
+++ b/src/quetzallift/query/handlers.h
@@ -25,6 +25,12 @@
 // Scatters a claimed query, or answers without running it.
 void handleClaimSettled(ReduceContext &context, const ClaimSettled &event);
 
+// Uses a searcher again that its health page shows as back, or plans the next probe.
+void handleSearcherProbed(ReduceContext &context, const SearcherProbed &event);
+
+// Looks at the queue of a searcher, or probes one that was draining.
+void handleSearcherTimer(ReduceContext &context, const TimerKey &timer);
+
 // Answers a query whose time has run out.
 void handleQueryTimer(ReduceContext &context, const TimerKey &timer);
 
--- /dev/null
+++ b/src/quetzallift/query/observe.cpp
@@ -0,0 +1,123 @@
+#include "quetzallift/query/observe.h"
+
+#include "quetzallift/core/reducecontext.h"
+
+#include <algorithm>
+
+namespace Quetzallift
+{
+namespace
+{
+// A searcher that was silent for this long starts cold again: its caches and connections are gone.
+constexpr Duration SilenceLimit = std::chrono::seconds(30);
+
+Duration toDuration(Seconds seconds)
+{
+    return std::chrono::duration_cast<Duration>(seconds);
+}
+
+// The mean latency of a searcher's data centre, which stands in for what is not known of the searcher.
+Seconds typicalLatency(const QueryState &state, const std::string &dataCentre, TimePoint now)
+{
+    const auto found = state.dataCentres.find(dataCentre);
+    return found == state.dataCentres.end() ? Seconds{} : found->second.valueAt(now, Seconds{});
+}
+
+// How long the searcher has had work and sent no reply.
+Duration silence(const SearcherView &view, TimePoint now)
+{
+    return view.sentTimes.empty() ? Duration::zero() : now - std::max(*view.sentTimes.begin(), view.lastReplyAt);
+}
+
+void updateWindow(ReduceContext &context, SearcherView &view, bool shed)
+{
+    WindowSample sample;
+    sample.window = view.window;
+    sample.inFlight = view.inFlight + 1;
+    sample.shed = shed;
+    sample.latency = toDuration(view.latency.value);
+    sample.baseline = toDuration(view.baseline.value);
+    sample.sinceLowered = context.now - view.windowLoweredAt;
+    const Window window = context.state.hooks.searcherWindow(sample);
+    if (window.size < view.window.size) {
+        view.windowLoweredAt = context.now;
+    }
+    view.window = window;
+}
+}
+
+SearcherView &viewOf(ReduceContext &context, const BackEnd &backEnd, const std::string &address)
+{
+    QueryState &state = context.state.query;
+    SearcherView &view = state.searchers[address];
+    if (view.number == 0) {
+        view.number = ++state.lastSearcher;
+        view.address = address;
+        view.window = context.state.hooks.searcherWindow(WindowSample{});
+        state.searcherNumbers[view.number] = address;
+    }
+    view.backEnd = backEnd.name;
+    const auto found = backEnd.searchers.find(address);
+    if (found != backEnd.searchers.end()) {
+        view.dataCentre = found->second.dataCentre;
+        view.connectionCost = found->second.connectionCost;
+    }
+    return view;
+}
+
+ReplicaCandidate candidateOf(const QueryState &state, const SearcherView &view, TimePoint now)
+{
+    ReplicaCandidate candidate;
+    const Seconds latency = view.latency.valueAt(now, typicalLatency(state, view.dataCentre, now));
+    candidate.latency = std::max(toDuration(latency), silence(view, now));
+    candidate.errorRate = view.errors.valueAt(now, 0.0);
+    candidate.load = view.inFlight + static_cast<unsigned>(view.queue.size());
+    candidate.window = view.window.size;
+    candidate.connectionCost = view.open > view.inFlight ? Duration::zero() : view.connectionCost;
+    candidate.near = view.dataCentre == state.dataCentre;
+    return candidate;
+}
+
+void observeServed(ReduceContext &context, SearcherView &view, Duration latency)
+{
+    const TimePoint now = context.now;
+    if (view.latency.samples > 0 && now - view.lastReplyAt > SilenceLimit) {
+        startCold(context, view);
+    }
+    view.latency.addCapped(latency, now);
+    view.baseline.add(view.latency, latency, now);
+    context.state.query.dataCentres[view.dataCentre].addCapped(latency, now);
+    view.errors.add(0.0, now);
+    view.lastReplyAt = now;
+    view.failuresInARow = 0;
+    updateWindow(context, view, false);
+}
+
+void observeUnanswered(ReduceContext &context, SearcherView &view, Duration elapsed)
+{
+    if (Seconds(elapsed) > view.latency.value) {
+        view.latency.addCapped(elapsed, context.now);
+        context.state.query.dataCentres[view.dataCentre].addCapped(elapsed, context.now);
+    }
+}
+
+void observeShed(ReduceContext &context, SearcherView &view)
+{
+    view.lastReplyAt = context.now;
+    view.failuresInARow = 0;
+    updateWindow(context, view, true);
+}
+
+void observeError(ReduceContext &context, SearcherView &view)
+{
+    view.errors.add(1.0, context.now);
+}
+
+void startCold(ReduceContext &context, SearcherView &view)
+{
+    view.window = context.state.hooks.searcherWindow(WindowSample{});
+    view.latency.samples = 0;
+    view.errors = {};
+    view.failuresInARow = 0;
+}
+}
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "quetzallift/model/controlsnapshot.h"
+#include "quetzallift/query/admissionstate.h"
 #include "quetzallift/query/runningquery.h"
 #include "quetzallift/query/searcherview.h"
 
+#include <map>
 #include <string>
 #include <unordered_map>
 
@@ -15,6 +17,17 @@
     std::size_t shardIndex = 0;
     std::string searcher;
     TimePoint sentAt;
+    AttemptId id = {};
+    // True while the attempt waits for a connection.
+    bool queued = false;
+    // True if the connection is closed after the reply.
+    bool closesConnection = false;
+};
+
+// Which of the traffic threads of this host a state belongs to.
+struct ThreadPlace {
+    unsigned number = 0;
+    unsigned count = 1;
 };
 
 // The state of one traffic thread.
@@ -24,6 +37,18 @@
     std::unordered_map<AttemptId, Attempt> attempts;
     // What this thread has observed of each searcher, by address.
     std::unordered_map<std::string, SearcherView> searchers;
+    // Addresses of searchers by the number that names them in timers.
+    std::unordered_map<std::uint64_t, std::string> searcherNumbers;
+    std::uint64_t lastSearcher = 0;
+    // Mean latency of the searchers of each data centre.
+    std::map<std::string, AgedMean<Seconds>> dataCentres;
+    // Ejected searchers and when their ejection ends, by back end.
+    std::map<std::string, std::map<std::string, TimePoint>> ejected;
+    // Running queries, limits and callers' use, by back end.
+    std::map<std::string, BackEndLoad> loads;
+    // This thread among the traffic threads of the host, and the host's data centre.
+    ThreadPlace place;
+    std::string dataCentre;
     std::uint64_t lastAttempt = 0;
     bool stopping = false;
     bool stopReported = false;
--- a/tests/query/queryfixture.h
+++ b/tests/query/queryfixture.h
@@ -15,6 +15,10 @@
 public:
     QueryFixture(std::size_t shards, std::size_t replicas, DeadlinePreference preference = DeadlinePreference::Latency)
     {
+        // Limits have tests of their own; here every sub-request leaves at once and every query is admitted.
+        m_state.hooks.searcherWindow = unlimitedWindow;
+        m_state.hooks.queryLimit = unlimitedQueries;
+        m_state.hooks.meetsDeadline = ignoreDeadline;
         m_bundle = RefPtr<Bundle>(new Bundle);
         BackEnd backEnd;
         backEnd.name = "data";
@@ -24,7 +28,7 @@
             layout.shards.push_back({{shard}, 1, {}});
             for (std::size_t replica = 0; replica < replicas; ++replica) {
                 const std::string address = "s" + std::to_string(shard) + "r" + std::to_string(replica);
-                backEnd.searchers[address] = Searcher{address, "kingston-a"};
+                backEnd.searchers[address] = Searcher{address, "kingston-a", 2, 25, Duration::zero()};
                 layout.shards.back().replicas.push_back(address);
             }
         }
