--- a/benchmarks/queuemodel.cpp
+++ b/benchmarks/queuemodel.cpp
@@ -135,6 +135,8 @@
         cancel(host, cancelled->attempt);
     } else if (const auto *answer = std::get_if<SendAnswer>(&effect)) {
         record(host, *answer);
+    } else if (const auto *metric = std::get_if<CountMetric>(&effect)) {
+        m_counts[{metric->metric, metric->label}] += metric->amount;
     } else if (const auto *timer = std::get_if<StartTimer>(&effect)) {
         schedule(timer->at, [this, host, key = timer->timer] {
             apply(host, TimerFired{key});
@@ -317,6 +319,11 @@
     return m_shed;
 }
 
+const std::map<std::pair<Metric, std::string>, double> &Model::counts() const
+{
+    return m_counts;
+}
+
 Duration Model::delay(std::size_t host, const std::string &searcher) const
 {
     return m_searchers.at(searcher).dataCentre == dataCentreOf(host) ? m_settings.nearDelay : m_settings.farDelay;
--- a/benchmarks/queuemodel.h
+++ b/benchmarks/queuemodel.h
@@ -84,6 +84,9 @@
     double farShare() const;
     std::uint64_t shedCount() const;
 
+    // Amounts counted by the hosts, by metric and label.
+    const std::map<std::pair<Quetzallift::Metric, std::string>, double> &counts() const;
+
 private:
     struct Work {
         std::size_t host = 0;
@@ -142,5 +145,6 @@
     std::uint64_t m_received = 0;
     std::uint64_t m_far = 0;
     std::uint64_t m_shed = 0;
+    std::map<std::pair<Quetzallift::Metric, std::string>, double> m_counts;
 };
 }
--- a/src/quetzallift/app/metrics.cpp
+++ b/src/quetzallift/app/metrics.cpp
@@ -38,6 +38,7 @@
         {Metric::SearchersBack, {"quetzallift_searchers_back_total", "back_end", "Draining searchers that are used again"}},
         {Metric::Refusals, {"quetzallift_refusals_total", "cause", "Queries refused"}},
         {Metric::BundlesAdopted, {"quetzallift_bundles_adopted_total", "", "Bundles adopted"}},
+        {Metric::BundlesRefused, {"quetzallift_bundles_refused_total", "source", "Bundles refused by verification"}},
         {Metric::PlatformCalls, {"quetzallift_platform_calls_total", "outcome", "Calls to the platform"}},
     };
     return all;
--- a/src/quetzallift/core/hooks.h
+++ b/src/quetzallift/core/hooks.h
@@ -1,14 +1,19 @@
 #pragma once
 
+#include "quetzallift/model/time.h"
 #include "quetzallift/query/querylimit.h"
 #include "quetzallift/query/replicachoice.h"
 #include "quetzallift/query/window.h"
 
 #include <cstdint>
 #include <functional>
+#include <string>
 
 namespace Quetzallift
 {
+struct Bundle;
+struct RolloutRecord;
+
 // Behaviour that varies, and the only source of randomness for decisions.
 struct Hooks {
     // A uniformly distributed number.
@@ -23,5 +28,16 @@
     std::function<double(const QueryLimitSample &)> queryLimit = adaptQueryLimit;
     // Whether a query that is expected to take this long may still run with this deadline.
     std::function<bool(Duration expected, Duration deadline)> meetsDeadline = expectedInTime;
+
+    // The wall-clock time, for what other machines and people read. No decision about a query depends on it.
+    std::function<WallTime()> wallNow = [] {
+        return WallTime();
+    };
+
+    // Says why a bundle must not be adopted; empty if its approval is valid. Hooks without a check accept every bundle;
+    // an entry host always sets one.
+    std::function<std::string(const RolloutRecord &, const Bundle &)> refusalOf = [](const RolloutRecord &, const Bundle &) {
+        return std::string();
+    };
 };
 }
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -10,8 +10,11 @@
     SearcherQueue,
     SearcherProbe,
     PlatformRetry,
+    BundleRetry,
     HostListPoll,
     StopLimit,
+    ServiceReport,
+    BurnWrite,
 };
 
 // Names a timer. A timer that no longer matters is not cancelled: its handler finds nothing to do.
--- a/src/quetzallift/model/metric.h
+++ b/src/quetzallift/model/metric.h
@@ -38,6 +38,8 @@
     Refusals,
     // Bundles adopted.
     BundlesAdopted,
+    // Bundles refused by verification; labelled by source.
+    BundlesRefused,
     // Calls to the platform; labelled by outcome.
     PlatformCalls,
 };
--- a/src/quetzallift/query/arrive.cpp
+++ b/src/quetzallift/query/arrive.cpp
@@ -82,6 +82,9 @@
 {
     context.state.query.control = event.snapshot;
     followHostList(context, *event.snapshot);
+    if (!context.state.query.service.reporting) {
+        reportService(context);
+    }
 }
 
 void handleQueryTimer(ReduceContext &context, const TimerKey &timer)
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -4,6 +4,7 @@
 #include "quetzallift/query/admissionstate.h"
 #include "quetzallift/query/runningquery.h"
 #include "quetzallift/query/searcherview.h"
+#include "quetzallift/query/servicecounting.h"
 
 #include <map>
 #include <string>
@@ -50,6 +51,7 @@
     ThreadPlace place;
     std::string dataCentre;
     std::uint64_t lastAttempt = 0;
+    ServiceState service;
     bool stopping = false;
     bool stopReported = false;
 };
