--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -19,6 +19,10 @@
     case TimerKind::StragglerCheck:
         handleQueryTimer(context, event.timer);
         break;
+    case TimerKind::SearcherQueue:
+    case TimerKind::SearcherProbe:
+        handleSearcherTimer(context, event.timer);
+        break;
     case TimerKind::PlatformRetry:
     case TimerKind::BundleRetry:
     case TimerKind::HostListPoll:
@@ -62,6 +66,10 @@
     {
         handleSubRequestFailed(context, event);
     }
+    void operator()(const SearcherProbed &event)
+    {
+        handleSearcherProbed(context, event);
+    }
     void operator()(const ControlSnapshotPublished &event)
     {
         handleControlSnapshot(context, event);
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -8,6 +8,8 @@
     QueryDeadline,
     LatencyTarget,
     StragglerCheck,
+    SearcherQueue,
+    SearcherProbe,
     PlatformRetry,
     BundleRetry,
     HostListPoll,
--- a/src/quetzallift/edge/httpclient.cpp
+++ b/src/quetzallift/edge/httpclient.cpp
@@ -83,6 +83,7 @@
     if (!interface.empty()) {
         curl_easy_setopt(easy, CURLOPT_INTERFACE, interface.c_str());
     }
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.closeAfter ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     const auto timeout = std::max(std::chrono::ceil<std::chrono::milliseconds>(request.timeout), std::chrono::milliseconds(1));
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -4,10 +4,12 @@
 #include "quetzallift/query/backendview.h"
 #include "quetzallift/query/endedattempts.h"
 #include "quetzallift/query/replicarecord.h"
+#include "quetzallift/query/admissionstate.h"
 #include "quetzallift/query/runningquery.h"
 #include "quetzallift/query/searcherview.h"
 #include "quetzallift/query/servicecounting.h"
 
+#include <map>
 #include <string>
 #include <unordered_map>
 
@@ -21,6 +23,11 @@
     TimePoint sentAt;
     // When the attempt was decided, before any wait for a connection.
     TimePoint plannedAt;
+    AttemptId id = {};
+    // True while the attempt waits for a connection.
+    bool queued = false;
+    // True if the connection is closed after the reply.
+    bool closesConnection = false;
 };
 
 // A claim that was asked for. It outlives its query, so that a claim granted too late is recorded as not run.
@@ -29,6 +36,12 @@
     Generation generation;
 };
 
+// Which of the traffic threads of this host a state belongs to.
+struct ThreadPlace {
+    unsigned number = 0;
+    unsigned count = 1;
+};
+
 // The state of one traffic thread.
 struct QueryState {
     ControlSnapshotPtr control;
@@ -43,6 +56,18 @@
     std::unordered_map<std::string, BackEndView> backEnds;
     std::unordered_map<QueryId, RequestedClaim> requestedClaims;
     EndedAttempts endedAttempts;
+    // Addresses of searchers by the number that names them in timers.
+    std::unordered_map<std::uint64_t, std::string> searcherNumbers;
+    std::uint64_t lastSearcher = 0;
+    // Mean latency of the searchers of each data centre.
+    std::map<std::string, AgedMean<Seconds>> dataCentres;
+    // Ejected searchers and when their ejection ends, by back end.
+    std::map<std::string, std::map<std::string, TimePoint>> ejected;
+    // Running queries, limits and callers' use, by back end.
+    std::map<std::string, BackEndLoad> loads;
+    // This thread among the traffic threads of the host, and the host's data centre.
+    ThreadPlace place;
+    std::string dataCentre;
     std::uint64_t lastAttempt = 0;
     ServiceState service;
     std::uint64_t lastProbe = 0;
--- /dev/null
+++ b/tests/control/callbudget_test.cpp
@@ -0,0 +1,34 @@
+#include "quetzallift/control/callbudget.h"
+
+#include <criterion/criterion.h>
+
+using namespace Quetzallift;
+
+// Guards against a fleet that exceeds the platform's read rate when all hosts call at once.
+Test(callbudget, fleetStaysBelowThePlatformsRate)
+{
+    constexpr std::size_t Hosts = 500;
+    constexpr auto Period = std::chrono::seconds(60);
+    CallBudget budget;
+    const TimePoint start = TimePoint() + std::chrono::hours(1);
+    std::size_t calls = 0;
+    for (TimePoint now = start; now < start + Period; now += std::chrono::milliseconds(10)) {
+        calls += takeCall(budget, false, Hosts, now, Duration::zero()) == Duration::zero() ? 1 : 0;
+    }
+    // The first calls come from the burst that a start needs.
+    const std::size_t burst = 8;
+    cr_assert_leq((calls - burst) * Hosts, 2000U * Period.count());
+    cr_assert_gt(calls, burst);
+}
+
+// Guards against a call that takes a turn although it cannot wait for it, and delays the calls after it.
+Test(callbudget, refusedCallTakesNothing)
+{
+    CallBudget budget;
+    const TimePoint now = TimePoint() + std::chrono::hours(1);
+    while (takeCall(budget, true, 250, now, Duration::zero()) == Duration::zero()) {
+    }
+    const Duration wait = takeCall(budget, true, 250, now, Duration::zero());
+    cr_assert_gt(wait.count(), 0);
+    cr_assert_eq(takeCall(budget, true, 250, now, Duration::zero()).count(), wait.count());
+}
