--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/control/burn.h"
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/platform.h"
 
@@ -30,6 +31,8 @@
     CreateClaim,
     ReadClaim,
     RecordOutcome,
+    ReadBurn,
+    WriteBurn,
 };
 
 // A claim that is being made.
@@ -54,9 +57,17 @@
     HostIdentity self;
     Generation generation;
     BundlePtr bundle;
+    // The rollout that is in force, and since when.
+    RolloutRecord rollout;
+    TimePoint adoptedAt;
     // The rollout whose bundle is being read.
     RolloutRecord wanted;
     std::uint64_t rolloutVersion = 0;
+    // The rollout that verification refused last; it is logged once.
+    RolloutRecord refused;
+    // Failures in a row, from which the wait before the next try follows.
+    unsigned rolloutFailures = 0;
+    unsigned bundleFailures = 0;
     HostListRecord hostList;
     std::uint64_t addressesVersion = 0;
     std::unordered_map<PlatformCallId, PendingCall> calls;
@@ -65,6 +76,7 @@
     std::uint64_t lastClaim = 0;
     // Versions of the claim objects that this host holds.
     std::unordered_map<std::string, std::pair<std::uint64_t, ClaimRecord>> heldClaims;
+    BurnState burn;
     bool stopping = false;
     std::set<unsigned> stoppedThreads;
 };
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -1,8 +1,10 @@
 #include "quetzallift/core/reduce.h"
 
+#include "quetzallift/control/burn.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/handlers.h"
+#include "quetzallift/query/servicecounting.h"
 
 namespace Quetzallift
 {
@@ -18,10 +20,15 @@
         handleQueryTimer(context, event.timer);
         break;
     case TimerKind::PlatformRetry:
+    case TimerKind::BundleRetry:
     case TimerKind::HostListPoll:
     case TimerKind::StopLimit:
+    case TimerKind::BurnWrite:
         handleControlTimer(context, event.timer);
         break;
+    case TimerKind::ServiceReport:
+        reportService(context);
+        break;
     }
 }
 
@@ -40,6 +47,7 @@
 
     void operator()(const QueryArrived &event)
     {
+        openService(context, event);
         handleQueryArrived(context, event);
     }
     void operator()(const QueryAbandoned &event)
@@ -78,10 +86,22 @@
     {
         handleOutcomeRecorded(context, event);
     }
+    void operator()(const PeerMessageArrived &event)
+    {
+        handlePeerMessage(context, event);
+    }
+    void operator()(const PeerUnreachable &event)
+    {
+        handlePeerUnreachable(context, event);
+    }
     void operator()(const TrafficStopped &event)
     {
         handleTrafficStopped(context, event);
     }
+    void operator()(const ServiceReported &event)
+    {
+        handleServiceReported(context, event);
+    }
     void operator()(const StopRequested &)
     {
         handleStop(context);
@@ -98,6 +118,7 @@
     Effects effects;
     ReduceContext context{state, event.at, effects};
     std::visit(Dispatcher{context}, event.body);
+    countService(context);
     return effects;
 }
 }
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -9,8 +9,11 @@
     LatencyTarget,
     StragglerCheck,
     PlatformRetry,
+    BundleRetry,
     HostListPoll,
     StopLimit,
+    ServiceReport,
+    BurnWrite,
 };
 
 // Names a timer. A timer that no longer matters is not cancelled: its handler finds nothing to do.
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -6,6 +6,7 @@
 #include "quetzallift/query/replicarecord.h"
 #include "quetzallift/query/runningquery.h"
 #include "quetzallift/query/searcherview.h"
+#include "quetzallift/query/servicecounting.h"
 
 #include <string>
 #include <unordered_map>
@@ -44,6 +45,7 @@
     EndedAttempts endedAttempts;
     std::uint64_t lastAttempt = 0;
     std::uint64_t lastProbe = 0;
+    ServiceState service;
     bool stopping = false;
     bool stopReported = false;
 };
