--- a/src/quetzallift/core/hooks.h
+++ b/src/quetzallift/core/hooks.h
@@ -19,8 +19,6 @@
     std::function<std::uint64_t()> random = [] {
         return std::uint64_t{0};
     };
-    // How long an attempt may wait before another replica is asked too; empty means that no other replica is asked.
-    std::function<std::optional<Duration>(const LatencyEstimate &, const BackEndPolicy &)> hedgeDelay = learnedHedgeDelay;
 
     // The wall-clock time, for what other machines and people read. No decision about a query depends on it.
     std::function<WallTime()> wallNow = [] {
@@ -32,5 +30,8 @@
     std::function<std::string(const RolloutRecord &, const Bundle &)> refusalOf = [](const RolloutRecord &, const Bundle &) {
         return std::string();
     };
+
+    // How long an attempt may wait before another replica is asked too; empty means that no other replica is asked.
+    std::function<std::optional<Duration>(const LatencyEstimate &, const BackEndPolicy &)> hedgeDelay = learnedHedgeDelay;
 };
 }
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -44,8 +44,8 @@
     std::unordered_map<QueryId, RequestedClaim> requestedClaims;
     EndedAttempts endedAttempts;
     std::uint64_t lastAttempt = 0;
-    std::uint64_t lastProbe = 0;
     ServiceState service;
+    std::uint64_t lastProbe = 0;
     bool stopping = false;
     bool stopReported = false;
 };
