Decide membership, addresses, connection shares and stops in the reducer

The control thread published the platform's host list as it stood, each host took an even part of every searcher's limit on its own, and a stop ended traffic at once although callers still held answers that named the host.

Hosts now probe each other (direct, indirect, suspicion with refutation, restart by a higher process number), spread statements and generations, and repair their tables by bucket hashes. Two hosts of each data centre watch the platform. The object "shares" divides connections in epochs: a part is raised only when every holder of an earlier part has acknowledged the lowered one or certainly holds nothing. A stop leaves the addresses first and serves until the last answer that named the host has run out.

--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -63,6 +63,8 @@
         m_traffic.at(settle->thread)->post(settle->settled);
     } else if (std::holds_alternative<StopTraffic>(effect)) {
         postToTraffic(StopRequested{});
+    } else if (std::holds_alternative<CutOffTraffic>(effect)) {
+        postToTraffic(CutOffRequested{});
     } else if (const auto *exit = std::get_if<Exit>(&effect)) {
         m_exitCode = exit->code;
         m_loop.stop();
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -37,6 +37,9 @@
     host.region = fields.text("region", MaximumNameLength);
     host.trafficThreads = static_cast<unsigned>(fields.integer("traffic_threads", 1, MaximumTrafficThreads, 2));
     host.stopLimit = fields.milliseconds("stop_limit_ms", std::chrono::milliseconds(1), std::chrono::hours(1), host.stopLimit);
+    host.addressesKeepFor = fields.milliseconds("addresses_keep_ms", Duration::zero(), std::chrono::minutes(10), host.addressesKeepFor);
+    host.cell = fields.text("cell", std::string(), MaximumNameLength);
+    host.peers = fields.texts("peers");
     fields.rejectUnknown();
     return host;
 }
--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -18,11 +18,18 @@
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusMethodNotAllowed = 405;
 constexpr unsigned StatusUnavailable = 503;
+
+// The caller's IP number; its port changes with every connection.
+std::string callerAddress(const HttpExchange &exchange)
+{
+    return exchange.peer().substr(0, exchange.peer().rfind(':'));
+}
 }
 
 TrafficThread::TrafficThread(unsigned number, const Settings &settings, Metrics &metrics, ControlPost postToControl)
     : m_number(number)
     , m_host(settings.host.name)
+    , m_dataCentre(settings.host.dataCentre)
     , m_metrics(metrics)
     , m_postToControl(std::move(postToControl))
     , m_searchers(m_loop, settings.host.address.substr(0, settings.host.address.find(':')))
@@ -107,7 +114,10 @@
         exchange->respond(StatusUnavailable, encodeHttpError(Step::Admit, exchange->peer(), "no bundle is in force on this entry host"));
         return;
     }
-    exchange->respond(StatusOk, encodeAddresses(*control, exchange->argument("data_centre")));
+    // A caller that does not say who it is or where it stands is told apart by its address, and taken to be near.
+    const std::string caller = exchange->argument("caller");
+    const std::string dataCentre = exchange->argument("data_centre");
+    exchange->respond(StatusOk, encodeAddresses(*control, dataCentre.empty() ? m_dataCentre : dataCentre, caller.empty() ? callerAddress(*exchange) : caller));
 }
 
 void TrafficThread::handleReady(const HttpExchangePtr &exchange) const
@@ -133,8 +143,10 @@
         m_postToControl(OutcomeRecorded{record->object, encodeAnswer(record->answer)});
     } else if (const auto *service = std::get_if<ReportService>(&effect)) {
         m_postToControl(ServiceReported{service->table});
-    } else if (std::holds_alternative<ReportStopped>(effect)) {
-        m_postToControl(TrafficStopped{m_number});
+    } else if (const auto *stopped = std::get_if<ReportStopped>(&effect)) {
+        m_postToControl(TrafficStopped{m_number, stopped->cutOff});
+    } else if (const auto *applied = std::get_if<ReportSharesApplied>(&effect)) {
+        m_postToControl(SharesApplied{m_number, applied->epoch});
     } else if (const auto *log = std::get_if<WriteLog>(&effect)) {
         writeLog(log->record, m_host);
     } else if (const auto *metric = std::get_if<CountMetric>(&effect)) {
--- a/src/quetzallift/app/trafficthread.h
+++ b/src/quetzallift/app/trafficthread.h
@@ -51,6 +51,7 @@
 
     unsigned m_number;
     std::string m_host;
+    std::string m_dataCentre;
     Metrics &m_metrics;
     ControlPost m_postToControl;
     EventLoop m_loop;
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -1,12 +1,17 @@
 #pragma once
 
 #include "quetzallift/control/burn.h"
+#include "quetzallift/control/membershipstate.h"
+#include "quetzallift/control/sharesstate.h"
+#include "quetzallift/control/spreadstate.h"
+#include "quetzallift/control/stopstate.h"
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/platform.h"
 
-#include <set>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace Quetzallift
 {
@@ -17,9 +22,15 @@
     std::string peerAddress;
     std::string dataCentre;
     std::string region;
+    // The set of hosts and searchers that this host belongs to; empty in a fleet of one set.
+    std::string cell;
+    // Peer addresses to ask while no other host is known, for instance because the platform is down.
+    std::vector<std::string> peers;
     unsigned trafficThreads = 1;
     // The longest time a graceful stop may take.
     Duration stopLimit = std::chrono::seconds(30);
+    // How long callers may keep an answer about addresses.
+    Duration addressesKeepFor = std::chrono::seconds(10);
 };
 
 // What the control thread does with the reply of a platform call.
@@ -31,6 +42,8 @@
     CreateClaim,
     ReadClaim,
     RecordOutcome,
+    ReadShares,
+    WriteShares,
     ReadBurn,
     WriteBurn,
 };
@@ -69,7 +82,19 @@
     unsigned rolloutFailures = 0;
     unsigned bundleFailures = 0;
     HostListRecord hostList;
-    std::uint64_t addressesVersion = 0;
+    // When the list was asked for; its content is not older.
+    std::optional<TimePoint> hostListReadAt;
+    TimePoint hostListAskedAt;
+    bool hostListCalling = false;
+    // Tells the timer of the next read from older ones.
+    std::uint64_t hostListSerial = 0;
+    MembershipState fleet;
+    SharesState shares;
+    SpreadState spread;
+    // True while this host is one of those that watch the platform.
+    bool watching = false;
+    // Tells the timer of the present wait from older ones.
+    std::uint64_t pollSerial = 0;
     std::unordered_map<PlatformCallId, PendingCall> calls;
     std::uint64_t lastCall = 0;
     std::unordered_map<std::uint64_t, PendingClaim> claims;
@@ -77,7 +102,6 @@
     // Versions of the claim objects that this host holds.
     std::unordered_map<std::string, std::pair<std::uint64_t, ClaimRecord>> heldClaims;
     BurnState burn;
-    bool stopping = false;
-    std::set<unsigned> stoppedThreads;
+    StopState stop;
 };
 }
--- a/src/quetzallift/control/effects.h
+++ b/src/quetzallift/control/effects.h
@@ -35,6 +35,10 @@
     PeerMessage message;
 };
 
+// Tells every traffic thread to drop its queries at once.
+struct CutOffTraffic {
+};
+
 // Ends the process.
 struct Exit {
     int code = 0;
--- a/src/quetzallift/control/events.h
+++ b/src/quetzallift/control/events.h
@@ -55,5 +55,13 @@
 // A traffic thread has no query left after a stop was requested.
 struct TrafficStopped {
     unsigned thread = 0;
+    // Queries that were dropped without an answer.
+    unsigned cutOff = 0;
+};
+
+// A traffic thread holds no more connections than the published shares of an epoch allow.
+struct SharesApplied {
+    unsigned thread = 0;
+    std::uint64_t epoch = 0;
 };
 }
--- a/src/quetzallift/control/handlers.h
+++ b/src/quetzallift/control/handlers.h
@@ -24,12 +24,18 @@
 // Writes the outcome of a claimed request into its claim object.
 void handleOutcomeRecorded(ReduceContext &context, const OutcomeRecorded &event);
 
+// Acknowledges the shares that every traffic thread keeps to.
+void handleSharesApplied(ReduceContext &context, const SharesApplied &event);
+
+// Publishes what changed and announces a new generation; called after every event of the control thread.
+void finishControlEvent(ReduceContext &context);
+
 // Ends the process once every traffic thread has stopped.
 void handleTrafficStopped(ReduceContext &context, const TrafficStopped &event);
 
 // Repeats work that was put off.
 void handleControlTimer(ReduceContext &context, const TimerKey &timer);
 
-// Begins a graceful stop; a second request ends the process at once.
+// Begins a graceful stop; a second request cuts off the queries that still run.
 void stopControl(ReduceContext &context);
 }
--- a/src/quetzallift/control/hostlist.cpp
+++ b/src/quetzallift/control/hostlist.cpp
@@ -1,7 +1,8 @@
 #include "quetzallift/control/hostlist.h"
 
+#include "quetzallift/control/membership.h"
 #include "quetzallift/control/platformcalls.h"
-#include "quetzallift/control/publish.h"
+#include "quetzallift/control/watchers.h"
 #include "quetzallift/core/reducecontext.h"
 
 namespace Quetzallift
@@ -13,6 +14,12 @@
 
 void readHostList(ReduceContext &context)
 {
+    ControlState &state = context.state.control;
+    if (state.hostListCalling) {
+        return;
+    }
+    state.hostListCalling = true;
+    state.hostListAskedAt = context.now;
     PlatformRequest request;
     request.verb = PlatformVerb::ReadHosts;
     callPlatform(context, PlatformPurpose::ReadHosts, std::move(request));
@@ -20,11 +27,15 @@
 
 void handleHostListReply(ReduceContext &context, const PlatformReply &reply)
 {
+    ControlState &state = context.state.control;
+    state.hostListCalling = false;
     const auto *hosts = std::get_if<HostListRecord>(&reply.value);
     if (reply.outcome == PlatformOutcome::Applied && hosts != nullptr) {
-        context.state.control.hostList = *hosts;
-        publish(context);
+        state.hostList = *hosts;
+        state.hostListReadAt = state.hostListAskedAt;
+        seedMembers(context, *hosts);
     }
-    context.emit(StartTimer{{TimerKind::HostListPoll, 0}, context.now + PollPeriod / 2 + jitter(context, PollPeriod)});
+    const Duration wait = state.watching ? PollPeriod / 2 + jitter(context, PollPeriod) : pollPeriod(context);
+    context.emit(StartTimer{{TimerKind::HostListPoll, ++state.hostListSerial}, context.now + wait});
 }
 }
--- a/src/quetzallift/control/hostlist.h
+++ b/src/quetzallift/control/hostlist.h
@@ -8,6 +8,6 @@
 // Reads the platform's host list.
 void readHostList(ReduceContext &context);
 
-// Publishes a changed host list and reads it again after a while.
+// Adds listed hosts to the membership and reads the list again after a while.
 void handleHostListReply(ReduceContext &context, const PlatformReply &reply);
 }
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -1,18 +1,100 @@
 #include "quetzallift/control/burn.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/hostlist.h"
+#include "quetzallift/control/membership.h"
+#include "quetzallift/control/probing.h"
 #include "quetzallift/control/publish.h"
 #include "quetzallift/control/rollout.h"
+#include "quetzallift/control/shares.h"
+#include "quetzallift/control/spread.h"
+#include "quetzallift/control/stop.h"
+#include "quetzallift/control/sync.h"
+#include "quetzallift/control/watchers.h"
 #include "quetzallift/core/reducecontext.h"
 
 namespace Quetzallift
 {
+namespace
+{
+// Statements that spreading missed are repaired within a few of these exchanges.
+constexpr std::uint64_t SyncEvery = 30;
+// After a longer pause the fleet may have forgotten hosts that this table still shows as live.
+constexpr Duration LongPause = std::chrono::minutes(1);
+
+// The work of one period: membership, watching and connection shares.
+void runPeriod(ReduceContext &context)
+{
+    MembershipState &fleet = context.state.control.fleet;
+    if (fleet.lastTick + LongPause <= context.now) {
+        forgetMembers(context);
+        readHostList(context);
+    }
+    fleet.lastTick = context.now;
+    ++fleet.ticks;
+    expireMembers(context);
+    probeNext(context);
+    if (fleet.ticks % SyncEvery == 0) {
+        syncWithRandomPeer(context);
+    }
+    updateWatching(context);
+    followShares(context);
+    startPeriod(context);
+}
+
+// Reads the rollout again, unless this timer was overtaken by a newer one.
+void pollDue(ReduceContext &context, std::uint64_t serial)
+{
+    if (serial == context.state.control.pollSerial) {
+        pollRollout(context);
+    }
+}
+
+void hostListDue(ReduceContext &context, std::uint64_t serial)
+{
+    if (serial == context.state.control.hostListSerial) {
+        readHostList(context);
+    }
+}
+
+void handleStopTimer(ReduceContext &context, TimerKind kind)
+{
+    switch (kind) {
+    case TimerKind::AddressesExpired:
+        handleAddressesExpired(context);
+        break;
+    case TimerKind::StopLimit:
+        handleStopLimit(context);
+        break;
+    case TimerKind::CutOffLimit:
+        handleCutOffLimit(context);
+        break;
+    case TimerKind::ExitDelay:
+        handleExitDelay(context);
+        break;
+    default:
+        break;
+    }
+}
+}
+
 void startControl(ReduceContext &context)
 {
-    context.state.control.active = true;
+    ControlState &state = context.state.control;
+    state.active = true;
+    startMembership(context, context.state.hooks.wallNow());
+    state.watching = isWatcher(state);
     followRollout(context);
     readHostList(context);
+    readShares(context);
     startBurn(context);
+    probeNext(context);
+    startPeriod(context);
+}
+
+void finishControlEvent(ReduceContext &context)
+{
+    publishChanges(context);
+    announceGeneration(context);
 }
 
 void handleControlTimer(ReduceContext &context, const TimerKey &timer)
@@ -24,42 +106,27 @@
     case TimerKind::BundleRetry:
         readWantedBundle(context);
         break;
+    case TimerKind::RolloutPoll:
+        pollDue(context, timer.subject);
+        break;
     case TimerKind::HostListPoll:
-        readHostList(context);
+        hostListDue(context, timer.subject);
         break;
     case TimerKind::BurnWrite:
         syncBurn(context);
         break;
-    case TimerKind::StopLimit:
-        context.emit(WriteLog{{LogLevel::Error, Step::Stop, {}, {}, "the stop limit ran out with queries still running"}});
-        context.emit(Exit{1});
+    case TimerKind::ProbePeriod:
+        runPeriod(context);
+        break;
+    case TimerKind::ProbeTimeout:
+        handleProbeTimeout(context, timer.subject);
+        break;
+    case TimerKind::ProbeFailed:
+        handleProbeFailed(context, timer.subject);
         break;
     default:
+        handleStopTimer(context, timer.kind);
         break;
     }
 }
-
-void stopControl(ReduceContext &context)
-{
-    ControlState &state = context.state.control;
-    if (state.stopping) {
-        context.emit(WriteLog{{LogLevel::Error, Step::Stop, {}, {}, "a second stop request ends the process at once"}});
-        context.emit(Exit{1});
-        return;
-    }
-    state.stopping = true;
-    publish(context);
-    context.emit(StopTraffic{});
-    context.emit(StartTimer{{TimerKind::StopLimit, 0}, context.now + state.self.stopLimit});
-}
-
-void handleTrafficStopped(ReduceContext &context, const TrafficStopped &event)
-{
-    ControlState &state = context.state.control;
-    state.stoppedThreads.insert(event.thread);
-    if (state.stoppedThreads.size() == state.self.trafficThreads) {
-        context.emit(WriteLog{{LogLevel::Info, Step::Stop, {}, {}, "stopped; no query was cut off"}});
-        context.emit(Exit{0});
-    }
-}
 }
--- a/src/quetzallift/control/peers.cpp
+++ b/src/quetzallift/control/peers.cpp
@@ -1,10 +1,97 @@
+#include "quetzallift/control/gossip.h"
 #include "quetzallift/control/handlers.h"
+#include "quetzallift/control/membership.h"
+#include "quetzallift/control/probing.h"
+#include "quetzallift/control/shares.h"
+#include "quetzallift/control/spread.h"
+#include "quetzallift/control/sync.h"
+#include "quetzallift/core/reducecontext.h"
 
 namespace Quetzallift
 {
-void handlePeerMessage(ReduceContext &, const PeerMessageArrived &)
-{ }
+namespace
+{
+// Calls the handler of each kind of message.
+struct PeerDispatcher {
+    ReduceContext &context;
+    const PeerSender &sender;
+
+    void operator()(const Probe &body)
+    {
+        handleProbe(context, sender, body);
+    }
+    void operator()(const ProbeReply &body)
+    {
+        handleProbeReply(context, body);
+    }
+    void operator()(const IndirectProbe &body)
+    {
+        handleIndirectProbe(context, sender, body);
+    }
+    void operator()(const Announcement &body)
+    {
+        if (body.replyWanted) {
+            sendToPeer(context, sender.self.peerAddress, Announcement{});
+        }
+    }
+    void operator()(const BundleRequest &)
+    {
+        handleBundleRequest(context, sender);
+    }
+    void operator()(const BundleReply &body)
+    {
+        handlePeerBundle(context, sender, body);
+    }
+    void operator()(const SharesRequest &)
+    {
+        sendToPeer(context, sender.self.peerAddress, SharesReply{context.state.control.shares.record});
+    }
+    void operator()(const SharesReply &body)
+    {
+        if (sender.self.cell == context.state.control.self.cell) {
+            adoptShares(context, body.shares);
+        }
+    }
+    void operator()(const SyncRequest &body)
+    {
+        handleSyncRequest(context, sender, body);
+    }
+    void operator()(const SyncReply &body)
+    {
+        handleSyncReply(context, sender, body);
+    }
+};
+
+// Takes over what the sender says of itself, and remembers to correct it if more is known.
+void noteSender(ReduceContext &context, const MemberUpdate &self)
+{
+    MembershipState &fleet = context.state.control.fleet;
+    const bool alone = fleet.members.empty();
+    applyUpdate(context, self);
+    const auto found = fleet.members.find(self.name);
+    if (found != fleet.members.end()) {
+        found->second.outdated = prevails(found->second.info, self);
+    }
+    if (alone && !fleet.members.empty()) {
+        // The first host heard of knows the others.
+        syncWithRandomPeer(context);
+    }
+}
+}
 
-void handlePeerUnreachable(ReduceContext &, const PeerUnreachable &)
-{ }
+void handlePeerMessage(ReduceContext &context, const PeerMessageArrived &event)
+{
+    const PeerMessage &message = event.message;
+    // A message under this host's own name comes from an earlier process or from a host with the same settings.
+    if (message.sender.self.name == context.state.control.fleet.self.name || message.sender.self.peerAddress.empty()) {
+        return;
+    }
+    noteSender(context, message.sender.self);
+    for (const MemberUpdate &update : message.updates) {
+        applyUpdate(context, update);
+    }
+    notePeerShares(context, message.sender);
+    notePeerGeneration(context, message);
+    std::visit(PeerDispatcher{context, message.sender}, message.body);
+}
 }
--- a/src/quetzallift/control/platformcalls.cpp
+++ b/src/quetzallift/control/platformcalls.cpp
@@ -5,6 +5,7 @@
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/hostlist.h"
 #include "quetzallift/control/rollout.h"
+#include "quetzallift/control/shares.h"
 #include "quetzallift/core/reducecontext.h"
 
 #include <algorithm>
@@ -82,6 +83,12 @@
     case PlatformPurpose::WriteBurn:
         handleBurnWritten(context, event.reply);
         break;
+    case PlatformPurpose::ReadShares:
+        handleSharesRead(context, event.reply);
+        break;
+    case PlatformPurpose::WriteShares:
+        handleSharesWritten(context, event.reply);
+        break;
     case PlatformPurpose::RecordOutcome:
         break;
     }
--- a/src/quetzallift/control/publish.cpp
+++ b/src/quetzallift/control/publish.cpp
@@ -1,36 +1,30 @@
 #include "quetzallift/control/publish.h"
 
+#include "quetzallift/control/addresses.h"
+#include "quetzallift/control/sharesplan.h"
 #include "quetzallift/core/reducecontext.h"
 
 namespace Quetzallift
 {
 namespace
 {
-std::vector<HostAddress> usableAddresses(const ControlState &state)
+void addShares(const ControlState &state, ControlSnapshot &snapshot)
 {
-    std::vector<HostAddress> addresses;
-    if (!state.stopping) {
-        addresses.push_back({state.self.name, state.self.address, state.self.dataCentre});
-    }
-    for (const ListedHost &host : state.hostList.hosts) {
-        if (!host.leaving && host.name != state.self.name) {
-            addresses.push_back({host.name, host.address, host.dataCentre});
+    const SharesHost self{state.fleet.self.name, state.fleet.self.incarnation.process};
+    snapshot.sharesEpoch = state.shares.record.current.epoch;
+    for (const auto &[name, backEnd] : state.bundle->backEnds) {
+        for (const auto &[address, searcher] : backEnd.searchers) {
+            const bool ours = searcher.cell == state.self.cell;
+            snapshot.connectionShares[address] = ours ? usablePart(state.shares.record, state.shares.settled, self, searcher) : 0;
         }
     }
-    return addresses;
-}
-
-// An even part of a searcher's connection limit; at least one, without which this host could send it no work.
-unsigned connectionShare(const Searcher &searcher, std::size_t hosts)
-{
-    const auto share = static_cast<unsigned>(searcher.connectionLimit / std::max<std::size_t>(hosts, 1));
-    return std::max(share, 1U);
 }
 }
 
 void publish(ReduceContext &context)
 {
     ControlState &state = context.state.control;
+    state.spread.published = state.fleet.version;
     if (!state.bundle) {
         return;
     }
@@ -38,12 +32,16 @@
     snapshot->generation = state.generation;
     snapshot->bundle = state.bundle;
     snapshot->addresses = usableAddresses(state);
-    snapshot->addressesVersion = ++state.addressesVersion;
-    for (const auto &[name, backEnd] : state.bundle->backEnds) {
-        for (const auto &[address, searcher] : backEnd.searchers) {
-            snapshot->connectionShares[address] = connectionShare(searcher, snapshot->addresses.size());
-        }
-    }
+    snapshot->addressesVersion = addressesVersion(snapshot->addresses);
+    snapshot->addressesKeepFor = state.self.addressesKeepFor;
+    addShares(state, *snapshot);
     context.emit(PublishControlSnapshot{snapshot});
 }
+
+void publishChanges(ReduceContext &context)
+{
+    if (context.state.control.spread.published != context.state.control.fleet.version) {
+        publish(context);
+    }
+}
 }
--- a/src/quetzallift/control/rollout.cpp
+++ b/src/quetzallift/control/rollout.cpp
@@ -2,6 +2,7 @@
 
 #include "quetzallift/control/platformcalls.h"
 #include "quetzallift/control/publish.h"
+#include "quetzallift/control/watchers.h"
 #include "quetzallift/core/reducecontext.h"
 
 namespace Quetzallift
@@ -75,12 +76,23 @@
         callPlatform(context, PlatformPurpose::ReadRollout, std::move(request));
         return;
     }
+    if (!state.watching) {
+        context.emit(StartTimer{{TimerKind::RolloutPoll, ++state.pollSerial}, context.now + pollPeriod(context)});
+        return;
+    }
     request.verb = PlatformVerb::Watch;
     request.version = state.rolloutVersion;
     request.timeout = WatchTimeout;
     callPlatform(context, PlatformPurpose::WatchRollout, std::move(request));
 }
 
+void pollRollout(ReduceContext &context)
+{
+    PlatformRequest request;
+    request.object = "rollout";
+    callPlatform(context, PlatformPurpose::ReadRollout, std::move(request));
+}
+
 void handleRolloutReply(ReduceContext &context, const PlatformReply &reply)
 {
     ControlState &state = context.state.control;
--- a/src/quetzallift/control/rollout.h
+++ b/src/quetzallift/control/rollout.h
@@ -10,9 +10,12 @@
 struct ReduceContext;
 struct RolloutRecord;
 
-// Reads the rollout object, or watches it once its version is known.
+// Reads the rollout object; once its version is known, a watcher watches it and any other host waits to poll it.
 void followRollout(ReduceContext &context);
 
+// Reads the rollout object once, on a host that polls it.
+void pollRollout(ReduceContext &context);
+
 // Reads the bundle of a rollout with a higher generation, and goes on watching.
 void handleRolloutReply(ReduceContext &context, const PlatformReply &reply);
 
--- /dev/null
+++ b/src/quetzallift/control/sync.cpp
@@ -0,0 +1,112 @@
+#include "quetzallift/control/sync.h"
+
+#include "quetzallift/control/gossip.h"
+#include "quetzallift/control/membership.h"
+#include "quetzallift/core/reducecontext.h"
+#include "quetzallift/model/rendezvous.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace Quetzallift
+{
+namespace
+{
+// About this many statements stand in one bucket, so that one difference costs about a kilobyte.
+constexpr std::size_t MembersPerBucket = 16;
+constexpr std::size_t MaximumBuckets = 256;
+constexpr std::size_t MaximumStatements = 128;
+// A host that has just started fetches the whole table; later exchanges repair little and stop after one reply.
+constexpr Duration JoinTime = std::chrono::seconds(30);
+
+std::size_t bucketOf(const std::string &name, std::size_t buckets)
+{
+    return rendezvousWeight("bucket", name) % buckets;
+}
+
+// The hash of one statement; the bucket's hash is the sum, which does not depend on order.
+std::uint32_t hashOf(const MemberUpdate &info)
+{
+    const std::string state = std::to_string(info.incarnation.process) + '/' + std::to_string(info.incarnation.refutation) + '/'
+                              + std::to_string(static_cast<int>(info.status)) + (info.stopped ? "s" : "");
+    return static_cast<std::uint32_t>(rendezvousWeight(state, info.name));
+}
+
+std::vector<std::uint32_t> bucketHashes(const MembershipState &fleet, std::size_t buckets)
+{
+    std::vector<std::uint32_t> hashes(buckets, 0);
+    hashes[bucketOf(fleet.self.name, buckets)] += hashOf(fleet.self);
+    for (const auto &[name, member] : fleet.members) {
+        if (member.confirmed) {
+            hashes[bucketOf(name, buckets)] += hashOf(member.info);
+        }
+    }
+    return hashes;
+}
+
+void sendSyncRequest(ReduceContext &context, const std::string &address)
+{
+    const MembershipState &fleet = context.state.control.fleet;
+    const std::size_t buckets = std::clamp(std::bit_ceil(fleet.members.size() / MembersPerBucket + 1), std::size_t{1}, MaximumBuckets);
+    sendToPeer(context, address, SyncRequest{bucketHashes(fleet, buckets)});
+}
+
+// The buckets that differ, up to the number whose members fit into one reply.
+std::vector<bool> differingBuckets(const std::vector<std::uint32_t> &own, const std::vector<std::uint32_t> &theirs, std::size_t limit, bool &more)
+{
+    std::vector<bool> differing(own.size(), false);
+    for (std::size_t bucket = 0; bucket < own.size(); ++bucket) {
+        if (own[bucket] == theirs[bucket]) {
+            continue;
+        }
+        more = limit == 0;
+        if (more) {
+            break;
+        }
+        differing[bucket] = true;
+        --limit;
+    }
+    return differing;
+}
+}
+
+void syncWithRandomPeer(ReduceContext &context)
+{
+    const auto reachable = [](const Member &member) {
+        return isServing(member);
+    };
+    for (const Member *member : randomMembers(context, 1, reachable)) {
+        sendSyncRequest(context, member->info.peerAddress);
+    }
+}
+
+void handleSyncRequest(ReduceContext &context, const PeerSender &sender, const SyncRequest &request)
+{
+    const MembershipState &fleet = context.state.control.fleet;
+    if (request.buckets.empty()) {
+        return;
+    }
+    SyncReply reply;
+    const std::size_t buckets = request.buckets.size();
+    const std::size_t perBucket = fleet.members.size() / buckets + 1;
+    const std::vector<bool> differing =
+        differingBuckets(bucketHashes(fleet, buckets), request.buckets, std::max<std::size_t>(1, MaximumStatements / perBucket), reply.more);
+    for (const auto &[name, member] : fleet.members) {
+        if (member.confirmed && differing[bucketOf(name, buckets)]) {
+            reply.members.push_back(member.info);
+        }
+    }
+    sendToPeer(context, sender.self.peerAddress, std::move(reply));
+}
+
+void handleSyncReply(ReduceContext &context, const PeerSender &sender, const SyncReply &reply)
+{
+    for (const MemberUpdate &update : reply.members) {
+        applyUpdate(context, update);
+    }
+    const bool joining = context.now < context.state.control.fleet.startedAt + JoinTime;
+    if (reply.more && joining && !reply.members.empty()) {
+        sendSyncRequest(context, sender.self.peerAddress);
+    }
+}
+}
--- /dev/null
+++ b/src/quetzallift/control/watchers.cpp
@@ -0,0 +1,58 @@
+#include "quetzallift/control/watchers.h"
+
+#include "quetzallift/control/hostlist.h"
+#include "quetzallift/control/membership.h"
+#include "quetzallift/control/platformcalls.h"
+#include "quetzallift/control/rollout.h"
+#include "quetzallift/core/reducecontext.h"
+#include "quetzallift/model/rendezvous.h"
+
+namespace Quetzallift
+{
+namespace
+{
+constexpr std::size_t WatchersPerDataCentre = 2;
+constexpr Duration PollFloor = std::chrono::seconds(30);
+// All hosts that do not watch make at most 20 reads a second together.
+constexpr Duration PollPerHost = std::chrono::milliseconds(50);
+}
+
+bool isWatcher(const ControlState &state)
+{
+    const MemberUpdate &self = state.fleet.self;
+    if (self.status != MemberStatus::Live) {
+        return false;
+    }
+    const std::string key = "watch/" + self.dataCentre;
+    const std::uint64_t own = rendezvousWeight(key, self.name);
+    std::size_t before = 0;
+    for (const auto &[name, member] : state.fleet.members) {
+        if (isServing(member) && member.info.dataCentre == self.dataCentre && rendezvousWeight(key, name) > own) {
+            ++before;
+        }
+    }
+    return before < WatchersPerDataCentre;
+}
+
+Duration pollPeriod(ReduceContext &context)
+{
+    const Duration period = std::max(PollFloor, PollPerHost * static_cast<int>(fleetSize(context.state.control)));
+    return period / 2 + jitter(context, period);
+}
+
+void updateWatching(ReduceContext &context)
+{
+    ControlState &state = context.state.control;
+    const bool watcher = isWatcher(state);
+    if (watcher == state.watching) {
+        return;
+    }
+    state.watching = watcher;
+    if (watcher && state.active) {
+        // Ends the wait of a host that polls; a timer that is still set carries an older number and does nothing.
+        ++state.pollSerial;
+        followRollout(context);
+        readHostList(context);
+    }
+}
+}
--- a/src/quetzallift/core/event.h
+++ b/src/quetzallift/core/event.h
@@ -11,6 +11,10 @@
 struct StopRequested {
 };
 
+// The decision to end although queries still run.
+struct CutOffRequested {
+};
+
 // A timer set by an earlier StartTimer effect has run out.
 struct TimerFired {
     TimerKey timer;
@@ -29,6 +33,8 @@
                                PeerMessageArrived,
                                PeerUnreachable,
                                TrafficStopped,
+                               SharesApplied,
+                               CutOffRequested,
                                ServiceReported,
                                StopRequested,
                                TimerFired>;
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -5,6 +5,7 @@
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/servicecounting.h"
+#include "quetzallift/query/sharesapplied.h"
 
 namespace Quetzallift
 {
@@ -22,15 +23,33 @@
     case TimerKind::BundleRetry:
     case TimerKind::HostListPoll:
     case TimerKind::StopLimit:
+    case TimerKind::RolloutPoll:
+    case TimerKind::ProbePeriod:
+    case TimerKind::ProbeTimeout:
+    case TimerKind::ProbeFailed:
+    case TimerKind::AddressesExpired:
+    case TimerKind::CutOffLimit:
+    case TimerKind::ExitDelay:
     case TimerKind::BurnWrite:
         handleControlTimer(context, event.timer);
         break;
+    case TimerKind::SharesCheck:
+        reportSharesApplied(context);
+        break;
     case TimerKind::ServiceReport:
         reportService(context);
         break;
     }
 }
 
+// Decisions that follow from the whole of an event rather than from one of its handlers.
+void finishEvent(ReduceContext &context)
+{
+    if (context.state.control.active) {
+        finishControlEvent(context);
+    }
+}
+
 void handleStop(ReduceContext &context)
 {
     if (context.state.control.active) {
@@ -101,6 +120,14 @@
     {
         handleServiceReported(context, event);
     }
+    void operator()(const SharesApplied &event)
+    {
+        handleSharesApplied(context, event);
+    }
+    void operator()(const CutOffRequested &)
+    {
+        cutOffQueries(context);
+    }
     void operator()(const StopRequested &)
     {
         handleStop(context);
@@ -117,6 +144,7 @@
     Effects effects;
     ReduceContext context{state, event.at, effects};
     std::visit(Dispatcher{context}, event.body);
+    finishEvent(context);
     countService(context);
     return effects;
 }
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -13,6 +13,14 @@
     StopLimit,
     ServiceReport,
     BurnWrite,
+    RolloutPoll,
+    ProbePeriod,
+    ProbeTimeout,
+    ProbeFailed,
+    AddressesExpired,
+    CutOffLimit,
+    ExitDelay,
+    SharesCheck,
 };
 
 // Names a timer. A timer that no longer matters is not cancelled: its handler finds nothing to do.
--- a/src/quetzallift/edge/addresscodec.cpp
+++ b/src/quetzallift/edge/addresscodec.cpp
@@ -1,23 +1,19 @@
 #include "quetzallift/edge/addresscodec.h"
 
-#include <nlohmann/json.hpp>
+#include "quetzallift/control/addresses.h"
 
-#include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace Quetzallift
 {
-std::string encodeAddresses(const ControlSnapshot &control, const std::string &dataCentre)
+std::string encodeAddresses(const ControlSnapshot &control, const std::string &dataCentre, const std::string &caller)
 {
-    std::vector<HostAddress> hosts = control.addresses;
-    std::stable_partition(hosts.begin(), hosts.end(), [&](const HostAddress &host) {
-        return host.dataCentre == dataCentre;
-    });
     nlohmann::json document = {
         {"version", control.addressesVersion},
         {"keep_ms", std::chrono::ceil<std::chrono::milliseconds>(control.addressesKeepFor).count()},
         {"hosts", nlohmann::json::array()},
     };
-    for (const HostAddress &host : hosts) {
+    for (const HostAddress &host : addressesFor(control, dataCentre, caller)) {
         document["hosts"].push_back({{"name", host.name}, {"address", host.address}, {"data_centre", host.dataCentre}});
     }
     return document.dump();
--- a/src/quetzallift/edge/bundlecodec.cpp
+++ b/src/quetzallift/edge/bundlecodec.cpp
@@ -37,6 +37,7 @@
     searcher.address = fields.text("address", MaximumNameLength);
     parseAddress(searcher.address);
     searcher.dataCentre = fields.text("data_centre", MaximumNameLength);
+    searcher.cell = fields.text("cell", std::string(), MaximumNameLength);
     searcher.slots = static_cast<unsigned>(fields.integer("slots", 1, MaximumSlots, searcher.slots));
     searcher.connectionLimit = static_cast<unsigned>(fields.integer("connections", 1, MaximumConnections, searcher.connectionLimit));
     searcher.connectionCost = fields.milliseconds("connection_cost_ms", Duration::zero(), std::chrono::seconds(10), searcher.connectionCost);
--- a/src/quetzallift/edge/peercodec.cpp
+++ b/src/quetzallift/edge/peercodec.cpp
@@ -26,6 +26,7 @@
         fields.push_back(update.address);
         fields.push_back(update.peerAddress);
         fields.push_back(update.dataCentre);
+        fields.push_back(update.cell);
     }
     return fields;
 }
@@ -128,9 +129,9 @@
     MemberUpdate update(const json &fields, const std::string &name) const
     {
         constexpr std::size_t Short = 5;
-        constexpr std::size_t Long = 8;
+        constexpr std::size_t Long = 9;
         if (!fields.is_array() || (fields.size() != Short && fields.size() != Long)) {
-            fail(name + " is not a statement of 5 or 8 fields");
+            fail(name + " is not a statement of 5 or 9 fields");
         }
         MemberUpdate update;
         try {
@@ -146,6 +147,7 @@
                 update.address = fields[5].get<std::string>();
                 update.peerAddress = fields[6].get<std::string>();
                 update.dataCentre = fields[7].get<std::string>();
+                update.cell = fields[8].get<std::string>();
             }
         } catch (const json::exception &error) {
             fail(name + " has a field of another type: " + error.what());
--- a/src/quetzallift/model/backend.h
+++ b/src/quetzallift/model/backend.h
@@ -36,6 +36,8 @@
     unsigned connectionLimit = 25;
     // The time that the searcher needs for opening a connection.
     Duration connectionCost = std::chrono::milliseconds(5);
+    // The set of hosts that may connect to it; empty in a fleet of one set.
+    std::string cell = {};
 };
 
 // A searched data set.
--- a/src/quetzallift/model/controlsnapshot.h
+++ b/src/quetzallift/model/controlsnapshot.h
@@ -27,6 +27,8 @@
     Duration addressesKeepFor = std::chrono::seconds(10);
     // Connections that this host may hold to each searcher, by searcher address; absent means none.
     std::map<std::string, unsigned> connectionShares;
+    // The epoch of these shares. A traffic thread reports once it holds no more than they allow.
+    std::uint64_t sharesEpoch = 0;
     // Searchers that the host list shows as leaving.
     std::set<std::string> leavingSearchers;
 };
--- a/src/quetzallift/model/memberupdate.h
+++ b/src/quetzallift/model/memberupdate.h
@@ -24,6 +24,8 @@
     std::string address;
     std::string peerAddress;
     std::string dataCentre;
+    // The set of hosts that divides the connections to a set of searchers; empty in a fleet of one set.
+    std::string cell;
 };
 
 // Whether a statement tells more than what is known.
--- a/src/quetzallift/query/arrive.cpp
+++ b/src/quetzallift/query/arrive.cpp
@@ -6,6 +6,7 @@
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/plan.h"
 #include "quetzallift/query/scatter.h"
+#include "quetzallift/query/sharesapplied.h"
 
 #include <algorithm>
 
@@ -79,6 +80,7 @@
 void handleControlSnapshot(ReduceContext &context, const ControlSnapshotPublished &event)
 {
     context.state.query.control = event.snapshot;
+    reportSharesApplied(context);
     if (!context.state.query.service.reporting) {
         reportService(context);
     }
--- a/src/quetzallift/query/effects.h
+++ b/src/quetzallift/query/effects.h
@@ -55,5 +55,12 @@
 
 // Tells the control thread that no query is left.
 struct ReportStopped {
+    // Queries that were dropped without an answer.
+    unsigned cutOff = 0;
+};
+
+// Tells the control thread that no more connections are in use than the shares of an epoch allow.
+struct ReportSharesApplied {
+    std::uint64_t epoch = 0;
 };
 }
--- a/src/quetzallift/query/finish.cpp
+++ b/src/quetzallift/query/finish.cpp
@@ -122,6 +122,14 @@
     reportStopped(context);
 }
 
+void cutOffQueries(ReduceContext &context)
+{
+    QueryState &state = context.state.query;
+    state.stopping = true;
+    state.stopReported = true;
+    context.emit(ReportStopped{static_cast<unsigned>(state.queries.size())});
+}
+
 void stopQueries(ReduceContext &context)
 {
     context.state.query.stopping = true;
--- a/src/quetzallift/query/handlers.h
+++ b/src/quetzallift/query/handlers.h
@@ -28,6 +28,9 @@
 // Answers a query whose time has run out.
 void handleQueryTimer(ReduceContext &context, const TimerKey &timer);
 
+// Reports how many queries still run, for a process that ends without them.
+void cutOffQueries(ReduceContext &context);
+
 // Takes no more queries and reports when none is left.
 void stopQueries(ReduceContext &context);
 }
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -29,5 +29,7 @@
     ServiceState service;
     bool stopping = false;
     bool stopReported = false;
+    // The epoch of connection shares that was reported as kept to.
+    std::uint64_t sharesReported = 0;
 };
 }
--- /dev/null
+++ b/tests/control/fleet_test.cpp
@@ -0,0 +1,300 @@
+#include "tests/control/fleetsimulation.h"
+
+#include "quetzallift/control/addresses.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <set>
+
+using namespace Quetzallift;
+using namespace std::chrono_literals;
+
+namespace
+{
+const std::vector<std::string> Names = {"a", "b", "c", "d", "e"};
+// A suspicion, its spreading and a lost message or two.
+constexpr Duration LeftBound = 40s;
+
+std::set<std::string> addressesOf(const FleetSimulation::Host &host)
+{
+    std::set<std::string> names;
+    for (const HostAddress &address : host.snapshot ? host.snapshot->addresses : std::vector<HostAddress>{}) {
+        names.insert(address.name);
+    }
+    return names;
+}
+
+// What must hold after every event of every history.
+class Invariants
+{
+public:
+    explicit Invariants(FleetSimulation &fleet)
+        : m_fleet(fleet)
+    { }
+
+    void check()
+    {
+        checkShares();
+        checkGenerations();
+        checkAddresses();
+    }
+
+    std::string broken;
+
+private:
+    void checkShares()
+    {
+        std::map<std::string, unsigned> sums;
+        for (const auto &[name, host] : m_fleet.hosts) {
+            for (const auto &[searcher, part] : host.snapshot && !host.exitCode ? host.snapshot->connectionShares : std::map<std::string, unsigned>{}) {
+                // Connections above a lowered part are held until the traffic thread has reported.
+                unsigned &held = m_held[{name, host.process, searcher}];
+                const bool released = host.state.control.shares.acknowledged >= host.snapshot->sharesEpoch;
+                held = released ? part : std::max(held, part);
+                sums[searcher] += held;
+            }
+        }
+        const std::map<std::string, unsigned> limits = {{"s1", 25}, {"s2", 40}, {"s3", 3}};
+        for (const auto &[searcher, sum] : sums) {
+            if (sum > limits.at(searcher)) {
+                broken = searcher + " has " + std::to_string(sum) + " connections";
+            }
+        }
+    }
+
+    void checkGenerations()
+    {
+        for (const auto &[name, host] : m_fleet.hosts) {
+            std::uint64_t &highest = m_generations[{name, host.process}];
+            if (host.state.control.generation.value < highest) {
+                broken = name + " went back to generation " + std::to_string(host.state.control.generation.value);
+            }
+            highest = host.state.control.generation.value;
+        }
+    }
+
+    // A host that was killed or has exited may be named for a bounded time only; a paused host publishes nothing and
+    // has that time again once it goes on.
+    void checkAddresses()
+    {
+        for (const std::string &name : Names) {
+            const auto found = m_fleet.hosts.find(name);
+            const bool here = found != m_fleet.hosts.end() && !found->second.exitCode;
+            if (here) {
+                m_lastHere[name] = m_fleet.now();
+            }
+        }
+        for (const auto &[observer, host] : m_fleet.hosts) {
+            for (const std::string &name : host.exitCode || host.paused ? std::set<std::string>{} : addressesOf(host)) {
+                if (m_fleet.now() > std::max(m_lastHere[name], host.wentOnAt) + LeftBound) {
+                    broken = observer + " still names " + name;
+                }
+            }
+        }
+    }
+
+    FleetSimulation &m_fleet;
+    std::map<std::string, TimePoint> m_lastHere;
+    std::map<std::tuple<std::string, std::uint64_t, std::string>, unsigned> m_held;
+    std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_generations;
+};
+
+void startAll(FleetSimulation &fleet, std::size_t count)
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        fleet.start(Names[index]);
+    }
+}
+
+// One random fault, or the end of one.
+void disturb(FleetSimulation &fleet, unsigned kind, const std::string &name)
+{
+    switch (kind) {
+    case 0:
+        fleet.kill(name);
+        break;
+    case 1:
+        fleet.kill(name);
+        fleet.start(name);
+        break;
+    case 2:
+        fleet.pause(name);
+        break;
+    case 3:
+        fleet.goOn(name);
+        break;
+    case 4:
+        fleet.stop(name);
+        break;
+    case 5:
+        fleet.platformDown = !fleet.platformDown;
+        break;
+    case 6:
+        fleet.platformDelay = fleet.platformDelay > 1s ? Duration(5ms) : Duration(3s);
+        break;
+    case 7:
+        fleet.side[name] = 1 - fleet.side[name];
+        break;
+    case 8:
+        fleet.lostWriteAnswers = fleet.lostWriteAnswers == 0 ? 2 : 0;
+        break;
+    default:
+        fleet.roll();
+        break;
+    }
+}
+
+void endFaults(FleetSimulation &fleet)
+{
+    fleet.loss = 0;
+    fleet.platformDown = false;
+    fleet.platformDelay = 5ms;
+    fleet.lostWriteAnswers = 0;
+    fleet.side.clear();
+    for (const std::string &name : Names) {
+        fleet.goOn(name);
+    }
+}
+
+std::set<std::string> liveNames(const FleetSimulation &fleet)
+{
+    std::set<std::string> names;
+    for (const auto &[name, host] : fleet.hosts) {
+        if (!host.exitCode && !host.state.control.stop.requested) {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
+}
+
+// Guards against connections over a searcher's limit, a generation that falls, and hosts that disagree for good, in any
+// order of losses, pauses, restarts, partitions and platform outages.
+Test(fleet, invariantsHoldThroughFaults, .timeout = 300)
+{
+    // A fixed seed makes the verdict the same every time; the environment may set another.
+    setenv("RC_PARAMS", "seed=20261204 max_success=150", 0);
+    cr_assert(rc::check("histories", [] {
+        const auto count = *rc::gen::inRange<std::size_t>(2, 6);
+        FleetSimulation fleet(*rc::gen::arbitrary<std::uint64_t>());
+        Invariants invariants(fleet);
+        fleet.check = [&] {
+            invariants.check();
+        };
+        startAll(fleet, count);
+        fleet.run(10s);
+        fleet.loss = 0.01 * *rc::gen::inRange(0, 30);
+        const auto faults = *rc::gen::container<std::vector<std::pair<unsigned, std::size_t>>>(
+            rc::gen::pair(rc::gen::inRange(0U, 10U), rc::gen::inRange<std::size_t>(0, count)));
+        for (const auto &[kind, host] : faults) {
+            disturb(fleet, kind, Names[host]);
+            fleet.run(std::chrono::milliseconds(*rc::gen::inRange(1, 20000)));
+            RC_ASSERT(invariants.broken == "");
+        }
+        endFaults(fleet);
+        fleet.run(150s);
+        RC_ASSERT(invariants.broken == "");
+        const std::set<std::string> live = liveNames(fleet);
+        for (const std::string &name : live) {
+            RC_ASSERT(addressesOf(fleet.hosts.at(name)) == live);
+            RC_ASSERT(fleet.hosts.at(name).state.control.shares.settled);
+        }
+    }));
+}
+
+// Guards against callers that are sent to a host that is dead, hung or leaving.
+Test(fleet, leftHostsDisappearFromAddresses)
+{
+    FleetSimulation fleet(1);
+    startAll(fleet, 5);
+    fleet.run(20s);
+    cr_assert_eq(addressesOf(fleet.hosts.at("a")).size(), 5U);
+    fleet.stop("e");
+    fleet.run(1s);
+    cr_assert(!addressesOf(fleet.hosts.at("a")).contains("e"));
+    fleet.kill("d");
+    fleet.pause("c");
+    fleet.run(LeftBound);
+    cr_assert(addressesOf(fleet.hosts.at("a")) == std::set<std::string>({"a", "b"}));
+    fleet.goOn("c");
+    fleet.run(20s);
+    cr_assert(addressesOf(fleet.hosts.at("a")) == std::set<std::string>({"a", "b", "c"}));
+}
+
+// Guards against a stop that refuses callers which still hold an answer that names the host.
+Test(fleet, plannedStopServesUntilAnswersRanOut)
+{
+    FleetSimulation fleet(2);
+    startAll(fleet, 2);
+    fleet.run(10s);
+    fleet.stop("a");
+    fleet.run(11s);
+    cr_assert(!fleet.hosts.at("a").exitCode.has_value());
+    fleet.run(2s);
+    cr_assert_eq(fleet.hosts.at("a").exitCode.value_or(-1), 0);
+}
+
+// Guards against a second signal that ends the process without saying what it cut off.
+Test(fleet, secondStopCutsOff)
+{
+    FleetSimulation fleet(3);
+    startAll(fleet, 1);
+    fleet.run(5s);
+    fleet.stop("a");
+    fleet.stop("a");
+    fleet.run(2s);
+    cr_assert_eq(fleet.hosts.at("a").exitCode.value_or(-1), 1);
+}
+
+// Guards against a host that starts during an outage and stays without a bundle although its peers have one.
+Test(fleet, bundleComesFromPeersWhilePlatformIsDown)
+{
+    FleetSimulation fleet(4);
+    startAll(fleet, 3);
+    fleet.run(10s);
+    fleet.platformDown = true;
+    fleet.start("d");
+    fleet.run(5s);
+    cr_assert_eq(fleet.hosts.at("d").state.control.generation.value, 1U);
+    cr_assert_eq(fleet.hosts.at("d").snapshot->connectionShares.at("s1"), 0U, "a newcomer used a part that no epoch gave it");
+    cr_assert(!addressesOf(fleet.hosts.at("a")).contains("d"), "callers were sent to a host without connections");
+}
+
+// Guards against platform calls that grow with the fleet: only two of five hosts may watch.
+Test(fleet, twoHostsOfADataCentreWatch)
+{
+    FleetSimulation fleet(5);
+    startAll(fleet, 5);
+    fleet.run(30s);
+    const auto watching = std::count_if(fleet.hosts.begin(), fleet.hosts.end(), [](const auto &entry) {
+        return entry.second.state.control.watching;
+    });
+    cr_assert_eq(watching, 2);
+}
+
+// Guards against callers that crowd on one host, or that all move when one host leaves.
+Test(addresses, callersSpreadEvenlyAndStay)
+{
+    ControlSnapshot control;
+    for (const std::string &name : Names) {
+        control.addresses.push_back({name, name + ":http", name < "d" ? "waco" : "corpus"});
+    }
+    std::map<std::string, int> counts;
+    int moved = 0;
+    ControlSnapshot smaller;
+    smaller.addresses.assign(control.addresses.begin() + 1, control.addresses.end());
+    for (int caller = 0; caller < 3000; ++caller) {
+        const std::string first = addressesFor(control, "waco", std::to_string(caller)).front().name;
+        ++counts[first];
+        moved += first != "a" && addressesFor(smaller, "waco", std::to_string(caller)).front().name != first ? 1 : 0;
+    }
+    cr_assert_eq(counts.size(), 3U, "a caller's own data centre comes first");
+    for (const auto &[name, count] : counts) {
+        cr_assert(count > 850 && count < 1150, "%s got %d of 3000 callers", name.c_str(), count);
+    }
+    cr_assert_eq(moved, 0);
+}
--- a/tests/edge/peercodec_test.cpp
+++ b/tests/edge/peercodec_test.cpp
@@ -10,10 +10,10 @@
 PeerMessage sampleMessage(PeerMessageBody body)
 {
     PeerMessage message;
-    message.sender.self = {"kingston-1", {7, 2}, MemberStatus::Live, false, "10.0.0.1:80", "10.0.0.1:81", "kingston-a"};
+    message.sender.self = {"kingston-1", {7, 2}, MemberStatus::Live, false, "10.0.0.1:80", "10.0.0.1:81", "kingston-a", "cell-1"};
     message.sender.generation.value = 9;
     message.sender.sharesEpoch = 4;
-    message.updates.push_back({"ocho-1", {8, 0}, MemberStatus::Gone, true, {}, {}, {}});
+    message.updates.push_back({"ocho-1", {8, 0}, MemberStatus::Gone, true, {}, {}, {}, {}});
     message.body = std::move(body);
     return message;
 }
