--- a/src/quetzallift/query/arrive.cpp
+++ b/src/quetzallift/query/arrive.cpp
@@ -10,6 +10,9 @@
 #include "quetzallift/query/probe.h"
 #include "quetzallift/query/scatter.h"
 #include "quetzallift/query/straggler.h"
+#include "quetzallift/query/sharesapplied.h"
+
+#include <algorithm>
 
 namespace Quetzallift
 {
@@ -88,6 +91,7 @@
 {
     context.state.query.control = event.snapshot;
     followHostList(context, *event.snapshot);
+    reportSharesApplied(context);
     if (!context.state.query.service.reporting) {
         reportService(context);
     }
--- a/src/quetzallift/query/handlers.h
+++ b/src/quetzallift/query/handlers.h
@@ -34,6 +34,9 @@
 // Answers a query whose time has run out.
 void handleQueryTimer(ReduceContext &context, const TimerKey &timer);
 
+// Reports how many queries still run, for a process that ends without them.
+void cutOffQueries(ReduceContext &context);
+
 // Takes no more queries and reports when none is left.
 void stopQueries(ReduceContext &context);
 }
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -73,5 +73,7 @@
     std::uint64_t lastProbe = 0;
     bool stopping = false;
     bool stopReported = false;
+    // The epoch of connection shares that was reported as kept to.
+    std::uint64_t sharesReported = 0;
 };
 }
