--- a/src/quetzallift/app/entryhost.h
+++ b/src/quetzallift/app/entryhost.h
@@ -4,6 +4,7 @@
 #include "quetzallift/app/settings.h"
 #include "quetzallift/app/trafficthread.h"
 #include "quetzallift/edge/eventloop.h"
+#include "quetzallift/edge/peerstreams.h"
 #include "quetzallift/edge/platformclient.h"
 
 #include <memory>
@@ -28,12 +29,14 @@
 
 private:
     void carryOut(const Effect &effect);
+    void receive(const std::string &from, const std::string &bytes);
     void postToTraffic(const EventBody &event);
 
     Settings m_settings;
     Metrics m_metrics;
     EventLoop m_loop;
     PlatformClient m_platform;
+    PeerStreams m_peers;
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     int m_exitCode = 0;
 };
--- a/src/quetzallift/core/event.h
+++ b/src/quetzallift/core/event.h
@@ -26,7 +26,10 @@
                                PlatformReplied,
                                ClaimRequested,
                                OutcomeRecorded,
+                               PeerMessageArrived,
+                               PeerUnreachable,
                                TrafficStopped,
+                               ServiceReported,
                                StopRequested,
                                TimerFired>;
 
--- a/src/quetzallift/core/hooks.h
+++ b/src/quetzallift/core/hooks.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "quetzallift/model/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -21,5 +23,10 @@
     std::function<std::string(const RolloutRecord &, const Bundle &)> refusalOf = [](const RolloutRecord &, const Bundle &) {
         return std::string();
     };
+
+    // The wall-clock time, for what other machines and people read. No decision about a query depends on it.
+    std::function<WallTime()> wallNow = [] {
+        return WallTime();
+    };
 };
 }
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -11,6 +11,8 @@
     BundleRetry,
     HostListPoll,
     StopLimit,
+    ServiceReport,
+    BurnWrite,
 };
 
 // Names a timer. A timer that no longer matters is not cancelled: its handler finds nothing to do.
--- a/src/quetzallift/edge/peersession.h
+++ b/src/quetzallift/edge/peersession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/edge/peercodec.h"
 #include "quetzallift/model/time.h"
 
 #include <ace/Event_Handler.h>
@@ -15,9 +16,6 @@
 
 namespace Quetzallift
 {
-// The largest message between hosts: an encoded bundle of the platform's 1 MB limit and its envelope.
-constexpr std::size_t MaximumPeerMessage = 1280U * 1024U;
-
 enum class PeerSide {
     // Opened the connection and sends messages on it.
     Sender,
--- a/src/quetzallift/edge/platformcodec.cpp
+++ b/src/quetzallift/edge/platformcodec.cpp
@@ -1,7 +1,9 @@
 #include "quetzallift/edge/platformcodec.h"
 
 #include "quetzallift/edge/bundlecodec.h"
+#include "quetzallift/edge/burncodec.h"
 #include "quetzallift/edge/jsonfields.h"
+#include "quetzallift/edge/sharescodec.h"
 #include "quetzallift/model/error.h"
 
 #include <nlohmann/json.hpp>
@@ -60,6 +62,11 @@
     };
 }
 
+nlohmann::json encode(const BurnRecord &record)
+{
+    return encodeBurn(record);
+}
+
 nlohmann::json encode(const BundlePtr &bundle)
 {
     return nlohmann::json::parse(bundle->content);
@@ -70,6 +77,11 @@
     throw Error(Step::Join, "platform", "the host list is the platform's own");
 }
 
+nlohmann::json encode(const SharesRecord &record)
+{
+    return encodeShares(record);
+}
+
 // The latest time in milliseconds that the system clock can represent in nanoseconds.
 constexpr std::uint64_t LatestMilliseconds = 9'223'372'036'854;
 
@@ -139,9 +151,15 @@
     if (object.starts_with("approval/")) {
         return decodeApproval(JsonFields(document, Step::Approve, object));
     }
+    if (object == "shares") {
+        return decodeShares(document, object);
+    }
     if (object.starts_with("claim/")) {
         return decodeClaim(JsonFields(document, Step::Claim, object));
     }
+    if (object.starts_with("burn/")) {
+        return decodeBurn(document, object);
+    }
     return {};
 }
 
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -2,7 +2,9 @@
 
 #include "quetzallift/model/approval.h"
 #include "quetzallift/model/bundle.h"
+#include "quetzallift/model/burnrecord.h"
 #include "quetzallift/model/ids.h"
+#include "quetzallift/model/sharesrecord.h"
 #include "quetzallift/model/time.h"
 
 #include <cstdint>
@@ -63,7 +65,7 @@
 };
 
 // The decoded value of an object; monostate if there is none.
-using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, Approval>;
+using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, BurnRecord, SharesRecord, Approval>;
 
 enum class PlatformVerb {
     Read,
