--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -2,6 +2,7 @@
 
 #include "quetzallift/app/log.h"
 #include "quetzallift/edge/peercodec.h"
+#include "quetzallift/edge/signature.h"
 #include "quetzallift/model/error.h"
 
 #include <random>
@@ -26,6 +27,9 @@
         return engine();
     };
     m_loop.state().hooks.wallNow = &std::chrono::system_clock::now;
+    m_loop.state().hooks.refusalOf = [this](const RolloutRecord &rollout, const Bundle &bundle) {
+        return approvalRefusal(rollout, bundle, m_settings.approvers, &signatureMatches);
+    };
     m_loop.setEffectHandler([this](const Effect &effect) {
         carryOut(effect);
     });
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -1,6 +1,7 @@
 #include "quetzallift/app/settings.h"
 
 #include "quetzallift/edge/jsonfields.h"
+#include "quetzallift/edge/signature.h"
 #include "quetzallift/edge/socketaddress.h"
 #include "quetzallift/model/error.h"
 
@@ -42,6 +43,29 @@
 }
 }
 
+namespace
+{
+Approvers decodeApprovers(JsonFields &fields)
+{
+    Approvers approvers;
+    for (JsonFields &item : fields.objects("approvers")) {
+        const std::string name = item.text("name", MaximumNameLength);
+        const std::string key = item.text("public_key", MaximumNameLength);
+        if (!isPublicKey(key)) {
+            item.fail("public_key", "an Ed25519 public key: 64 hexadecimal digits");
+        }
+        if (!approvers.emplace(name, key).second) {
+            item.fail("name", "a name that no other approver has");
+        }
+        item.rejectUnknown();
+    }
+    if (approvers.empty()) {
+        fields.fail("approvers", "a list with at least one approver; without one no bundle could be adopted");
+    }
+    return approvers;
+}
+}
+
 std::string readFile(const std::string &file)
 {
     std::ifstream stream(file, std::ios::binary);
@@ -62,6 +86,7 @@
     JsonFields platform = fields.object("platform");
     settings.platform = address(platform, "address");
     platform.rejectUnknown();
+    settings.approvers = decodeApprovers(fields);
     fields.rejectUnknown();
     return settings;
 }
--- a/src/quetzallift/app/settings.h
+++ b/src/quetzallift/app/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/control/approvalcheck.h"
 #include "quetzallift/control/controlstate.h"
 
 #include <string>
@@ -11,6 +12,8 @@
     HostIdentity host;
     // The platform's "ip:port".
     std::string platform;
+    // Who may approve bundles; never empty.
+    Approvers approvers;
 };
 
 // Reads a settings file: JSON with comments. Throws Error that names the file, the field's path, its value and what is
--- a/src/quetzallift/edge/platformclient.cpp
+++ b/src/quetzallift/edge/platformclient.cpp
@@ -1,101 +1,10 @@
 #include "quetzallift/edge/platformclient.h"
 
 #include "quetzallift/edge/eventloop.h"
-#include "quetzallift/edge/platformcodec.h"
-#include "quetzallift/model/error.h"
-
-#include <charconv>
+#include "quetzallift/edge/platformhttp.h"
 
 namespace Quetzallift
 {
-namespace
-{
-constexpr long StatusOk = 200;
-constexpr long StatusCreated = 201;
-constexpr long StatusNotFound = 404;
-constexpr long StatusPreconditionFailed = 412;
-// Time on top of a watch's own, within which the platform's answer must arrive.
-constexpr Duration WatchMargin = std::chrono::seconds(1);
-
-// Percent-encodes what may not stand in a path. Names of callers and requests are free text.
-std::string encodePath(const std::string &name)
-{
-    constexpr char Digits[] = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char c : name) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '/') {
-            encoded += c;
-        } else {
-            encoded += '%';
-            encoded += Digits[byte >> 4U];
-            encoded += Digits[byte & 15U];
-        }
-    }
-    return encoded;
-}
-
-HttpRequest makeHttpRequest(const std::string &address, const PlatformRequest &request)
-{
-    HttpRequest http;
-    http.url = "http://" + address + "/v1/objects/" + encodePath(request.object);
-    http.timeout = request.timeout;
-    switch (request.verb) {
-    case PlatformVerb::Read:
-        break;
-    case PlatformVerb::Watch: {
-        const auto wait = std::chrono::floor<std::chrono::milliseconds>(request.timeout);
-        http.url += "?watch=" + std::to_string(request.version) + "&wait_ms=" + std::to_string(wait.count());
-        http.timeout += WatchMargin;
-        break;
-    }
-    case PlatformVerb::Create:
-        http.method = "PUT";
-        http.headers = {"If-None-Match: *"};
-        http.body = encodePlatformValue(request.value);
-        break;
-    case PlatformVerb::Update:
-        http.method = "PUT";
-        http.headers = {"If-Match: \"" + std::to_string(request.version) + "\""};
-        http.body = encodePlatformValue(request.value);
-        break;
-    case PlatformVerb::ReadHosts:
-        http.url = "http://" + address + "/v1/hosts";
-        break;
-    }
-    return http;
-}
-
-PlatformOutcome outcomeOf(const HttpResult &result)
-{
-    if (result.outcome != HttpOutcome::Responded) {
-        return result.sent ? PlatformOutcome::Unknown : PlatformOutcome::NotApplied;
-    }
-    if (result.status == StatusOk || result.status == StatusCreated) {
-        return PlatformOutcome::Applied;
-    }
-    const bool refused = result.status == StatusNotFound || result.status == StatusPreconditionFailed;
-    return refused ? PlatformOutcome::NotApplied : PlatformOutcome::Unknown;
-}
-
-PlatformReply decodeReply(const PlatformRequest &request, const HttpResult &result)
-{
-    PlatformReply reply;
-    reply.outcome = outcomeOf(result);
-    reply.detail = result.error.empty() ? "HTTP status " + std::to_string(result.status) : result.error;
-    std::from_chars(result.etag.data(), result.etag.data() + result.etag.size(), reply.version);
-    if (reply.outcome != PlatformOutcome::Applied) {
-        return reply;
-    }
-    if (request.verb == PlatformVerb::ReadHosts) {
-        reply.value = decodeHostList(result.body);
-    } else if (request.verb == PlatformVerb::Read || request.verb == PlatformVerb::Watch) {
-        reply.value = decodePlatformValue(request.object, result.body);
-    }
-    return reply;
-}
-}
-
 PlatformClient::PlatformClient(EventLoop &loop, std::string address)
     : m_loop(loop)
     , m_address(std::move(address))
@@ -104,15 +13,8 @@
 
 void PlatformClient::call(const CallPlatform &effect)
 {
-    m_http.send(makeHttpRequest(m_address, effect.request), [this, call = effect.call, request = effect.request](const HttpResult &result) {
-        PlatformReply reply;
-        try {
-            reply = decodeReply(request, result);
-        } catch (const Error &error) {
-            reply.outcome = PlatformOutcome::Unknown;
-            reply.detail = error.what();
-        }
-        m_loop.dispatch(PlatformReplied{call, std::move(reply)});
+    m_http.send(encodePlatformCall(m_address, effect.request), [this, call = effect.call, request = effect.request](const HttpResult &result) {
+        m_loop.dispatch(PlatformReplied{call, decodePlatformReply(request, result)});
     });
 }
 }
