--- a/src/quetzallift/core/hooks.h
+++ b/src/quetzallift/core/hooks.h
@@ -18,15 +18,15 @@
         return std::uint64_t{0};
     };
 
+    // The wall-clock time, for what other machines and people read. No decision about a query depends on it.
+    std::function<WallTime()> wallNow = [] {
+        return WallTime();
+    };
+
     // Says why a bundle must not be adopted; empty if its approval is valid. Hooks without a check accept every bundle;
     // an entry host always sets one.
     std::function<std::string(const RolloutRecord &, const Bundle &)> refusalOf = [](const RolloutRecord &, const Bundle &) {
         return std::string();
     };
-
-    // The wall-clock time, for what other machines and people read. No decision about a query depends on it.
-    std::function<WallTime()> wallNow = [] {
-        return WallTime();
-    };
 };
 }
--- a/src/quetzallift/edge/platformcodec.cpp
+++ b/src/quetzallift/edge/platformcodec.cpp
@@ -148,12 +148,12 @@
     if (object.starts_with("bundle/")) {
         return decodeBundle(document, object);
     }
-    if (object.starts_with("approval/")) {
-        return decodeApproval(JsonFields(document, Step::Approve, object));
-    }
     if (object == "shares") {
         return decodeShares(document, object);
     }
+    if (object.starts_with("approval/")) {
+        return decodeApproval(JsonFields(document, Step::Approve, object));
+    }
     if (object.starts_with("claim/")) {
         return decodeClaim(JsonFields(document, Step::Claim, object));
     }
--- a/src/quetzallift/model/bundle.h
+++ b/src/quetzallift/model/bundle.h
@@ -33,13 +33,14 @@
 // One immutable configuration, named by the digest of its content.
 struct Bundle : RefCounted<Bundle> {
     std::string digest;
-    // The content in canonical form, which peers pass on.
-    std::string content;
     std::string author;
     std::string comment;
     std::map<std::string, BackEnd> backEnds;
     std::map<std::string, CallerPolicy> callers;
     std::vector<Objective> objectives;
+    // The canonical encoding of the content, over which the digest is taken. Kept so that the bundle can be passed on
+    // unchanged.
+    std::string content;
 
     // The back end of that name, or null.
     const BackEnd *backEnd(const std::string &name) const;
