Operate bundles from the command line and bound platform calls

Cause: operators had no way to prepare, approve and roll; a lost claim answer left no time to read it back, outcomes were written once, and a fleet could exceed the platform's rates when it returned. Change: quetzallift bundle check, prepare, keygen, approve, roll, status, history and diff; GET /v1/status on each host. Platform calls go through a token bucket for reads and writes divided by the number of hosts. Claims keep half of their time for reading the token back, are granted only before the query's deadline and are released when given up; outcomes are written until recorded or superseded. Fingerprints are XXH3 digests.

--- a/src/quetzallift/app/commands.h
+++ b/src/quetzallift/app/commands.h
@@ -13,5 +13,6 @@
 int serveCommand(int argc, const char **argv);
 int settingsCommand(int argc, const char **argv);
 int queryCommand(int argc, const char **argv);
+int bundleCommand(int argc, const char **argv);
 int reportCommand(int argc, const char **argv);
 }
--- a/src/quetzallift/app/main.cpp
+++ b/src/quetzallift/app/main.cpp
@@ -18,6 +18,7 @@
 
   serve --settings FILE    run an entry host
   settings check FILE      check a settings file
+  bundle PART [OPTIONS]    prepare, approve and roll configuration bundles
   query [OPTIONS]          send one query as a caller would
   report burn [OPTIONS]    show how fast service-level budgets are used up
   version                  print the version
@@ -38,6 +39,7 @@
         {"serve", &Quetzallift::serveCommand},
         {"settings", &Quetzallift::settingsCommand},
         {"query", &Quetzallift::queryCommand},
+        {"bundle", &Quetzallift::bundleCommand},
         {"report", &Quetzallift::reportCommand},
         {"version", &versionCommand},
     };
--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -5,6 +5,7 @@
 #include "quetzallift/edge/addresscodec.h"
 #include "quetzallift/edge/httperror.h"
 #include "quetzallift/edge/querycodec.h"
+#include "quetzallift/edge/statuscodec.h"
 #include "quetzallift/model/error.h"
 
 #include <random>
@@ -71,6 +72,8 @@
         exchange->respond(StatusOk, R"({"status":"alive"})");
     } else if (path == "/ready") {
         handleReady(exchange);
+    } else if (path == "/v1/status") {
+        exchange->respond(StatusOk, encodeStatus(m_host, m_loop.state().query.control, Clock::now(), std::chrono::system_clock::now()));
     } else if (path == "/metrics") {
         exchange->respond(StatusOk, m_metrics.page(), "text/plain; version=0.0.4");
     } else {
--- a/src/quetzallift/control/claims.cpp
+++ b/src/quetzallift/control/claims.cpp
@@ -4,24 +4,115 @@
 #include "quetzallift/control/platformcalls.h"
 #include "quetzallift/core/reducecontext.h"
 
+#include <algorithm>
+
 namespace Quetzallift
 {
 namespace
 {
-void settle(ReduceContext &context, std::uint64_t claim, ClaimResult result, std::string detail, std::string answer = {})
+constexpr Duration LongestCall = std::chrono::milliseconds(500);
+constexpr Duration FirstWait = std::chrono::milliseconds(20);
+// Reads after which a claim that was given up, and was never seen, is taken as not made.
+constexpr unsigned MaximumReleaseReads = 12;
+// Bounds the memory for claims; beyond it requests get not_run.
+constexpr std::size_t MaximumClaims = 4096;
+
+PendingClaim *findClaim(ReduceContext &context, std::uint64_t claim)
 {
-    ControlState &state = context.state.control;
-    const auto found = state.claims.find(claim);
-    const PendingClaim &pending = found->second;
-    context.emit(SettleClaim{pending.thread, {pending.query, result, std::move(answer), std::move(detail)}});
-    state.claims.erase(found);
+    const auto found = context.state.control.claims.find(claim);
+    return found == context.state.control.claims.end() ? nullptr : &found->second;
 }
 
-void grant(ReduceContext &context, std::uint64_t claim, std::uint64_t version)
+// Tells the query the outcome once; the claim itself stays until it is forgotten.
+void settle(ReduceContext &context, PendingClaim &pending, ClaimResult result, std::string detail, std::string answer = {})
+{
+    if (!std::exchange(pending.settled, true)) {
+        context.emit(SettleClaim{pending.thread, {pending.query, result, std::move(answer), std::move(detail)}});
+    }
+}
+
+void settleAndForget(ReduceContext &context, std::uint64_t claim, ClaimResult result, std::string detail, std::string answer = {})
+{
+    settle(context, context.state.control.claims.at(claim), result, std::move(detail), std::move(answer));
+    context.state.control.claims.erase(claim);
+}
+
+void retryRead(ReduceContext &context, std::uint64_t claim, Duration wait)
+{
+    context.emit(StartTimer{{TimerKind::ClaimRetry, claim}, context.now + wait});
+}
+
+// Tells the query that nothing was sent, and looks for the claim later in order to release it.
+void giveUp(ReduceContext &context, std::uint64_t claim, const std::string &detail)
+{
+    PendingClaim &pending = context.state.control.claims.at(claim);
+    settle(context, pending, ClaimResult::NotClaimed, detail);
+    pending.reads = 0;
+    retryRead(context, claim, backoff(context, 0));
+}
+
+void release(ReduceContext &context, std::uint64_t claim, std::uint64_t version)
 {
     const PendingClaim &pending = context.state.control.claims.at(claim);
+    ClaimRecord record = pending.record;
+    record.released = true;
+    PlatformRequest request{PlatformVerb::Update, pending.object, version, std::move(record), LongestCall};
+    callPlatform(context, PlatformPurpose::ReleaseClaim, std::move(request), claim);
+}
+
+// The object carries this claim's token. A host that was paused past the deadline must not send the request any more.
+void grant(ReduceContext &context, std::uint64_t claim, std::uint64_t version)
+{
+    PendingClaim &pending = context.state.control.claims.at(claim);
+    if (pending.settled || context.now >= pending.deadline) {
+        settle(context, pending, ClaimResult::NotClaimed, "the claim came after the deadline; nothing was sent");
+        release(context, claim, version);
+        return;
+    }
     context.state.control.heldClaims[pending.object] = {version, pending.record};
-    settle(context, claim, ClaimResult::Granted, {});
+    settleAndForget(context, claim, ClaimResult::Granted, {});
+}
+
+void write(ReduceContext &context, std::uint64_t claim, PlatformVerb verb, std::uint64_t version)
+{
+    const PendingClaim &pending = context.state.control.claims.at(claim);
+    // Half of the time is left for reading the token back.
+    const Duration timeout = std::clamp<Duration>((pending.deadline - context.now) / 2, std::chrono::milliseconds(1), LongestCall);
+    PlatformRequest request{verb, pending.object, version, pending.record, timeout};
+    callPlatform(context, PlatformPurpose::CreateClaim, std::move(request), claim);
+}
+
+void handleUnread(ReduceContext &context, std::uint64_t claim)
+{
+    PendingClaim &pending = context.state.control.claims.at(claim);
+    if (pending.settled) {
+        if (++pending.reads >= MaximumReleaseReads) {
+            context.emit(WriteLog{{LogLevel::Warning, Step::Claim, "platform", pending.object, "the claim was given up and may stand in the platform"}});
+            context.state.control.claims.erase(claim);
+            return;
+        }
+        retryRead(context, claim, backoff(context, pending.reads));
+        return;
+    }
+    const Duration wait = FirstWait + jitter(context, FirstWait * (1U << std::min(pending.reads++, 4U)));
+    if (context.now + wait < pending.deadline) {
+        retryRead(context, claim, wait);
+        return;
+    }
+    giveUp(context, claim, "the platform does not answer; nothing was sent");
+}
+
+void handleAbsent(ReduceContext &context, std::uint64_t claim)
+{
+    PendingClaim &pending = context.state.control.claims.at(claim);
+    if (pending.created == PlatformOutcome::NotApplied) {
+        settleAndForget(context, claim, ClaimResult::NotClaimed, "the claim did not take effect");
+    } else if (!pending.settled) {
+        // The create that got no answer may still arrive.
+        giveUp(context, claim, "the claim did not take effect in time; nothing was sent");
+    } else {
+        handleUnread(context, claim);
+    }
 }
 }
 
@@ -29,57 +120,79 @@
 {
     ControlState &state = context.state.control;
     const std::uint64_t claim = ++state.lastClaim;
-    PendingClaim pending{event.thread, event.query, event.object, {}};
+    PendingClaim pending{event.thread, event.query, event.object, {}, context.now + event.timeout};
     pending.record.token = state.self.name + "-" + std::to_string(context.state.hooks.random());
     pending.record.host = state.self.name;
     pending.record.fingerprint = event.fingerprint;
-    PlatformRequest request{PlatformVerb::Create, event.object, 0, pending.record, event.timeout};
+    const bool full = state.claims.size() >= MaximumClaims;
     state.claims.emplace(claim, std::move(pending));
-    callPlatform(context, PlatformPurpose::CreateClaim, std::move(request), claim);
+    if (full || platformIsDown(state)) {
+        settleAndForget(context, claim, ClaimResult::NotClaimed, full ? "too many claims wait for the platform" : "the platform does not answer");
+        return;
+    }
+    write(context, claim, PlatformVerb::Create, 0);
 }
 
 void handleClaimCreated(ReduceContext &context, std::uint64_t claim, const PlatformReply &reply)
 {
+    PendingClaim *pending = findClaim(context, claim);
+    if (pending == nullptr) {
+        return;
+    }
+    pending->created = reply.outcome;
     if (reply.outcome == PlatformOutcome::Applied) {
         grant(context, claim, reply.version);
         return;
     }
+    readClaim(context, claim);
+}
+
+void readClaim(ReduceContext &context, std::uint64_t claim)
+{
+    const PendingClaim *pending = findClaim(context, claim);
+    if (pending == nullptr) {
+        return;
+    }
     PlatformRequest request;
-    request.object = context.state.control.claims.at(claim).object;
+    request.object = pending->object;
+    const Duration left = pending->settled ? LongestCall : pending->deadline - context.now;
+    request.timeout = std::clamp<Duration>(left, std::chrono::milliseconds(1), LongestCall);
     callPlatform(context, PlatformPurpose::ReadClaim, std::move(request), claim);
 }
 
 void handleClaimRead(ReduceContext &context, std::uint64_t claim, const PlatformReply &reply)
 {
-    const PendingClaim &pending = context.state.control.claims.at(claim);
+    const PendingClaim *pending = findClaim(context, claim);
+    if (pending == nullptr) {
+        return;
+    }
     const auto *record = std::get_if<ClaimRecord>(&reply.value);
     if (reply.outcome == PlatformOutcome::Unknown) {
-        settle(context, claim, ClaimResult::NotClaimed, "the platform does not answer; nothing was sent");
+        handleUnread(context, claim);
     } else if (record == nullptr) {
-        settle(context, claim, ClaimResult::NotClaimed, "the claim did not take effect");
-    } else if (record->token == pending.record.token) {
+        handleAbsent(context, claim);
+    } else if (record->token == pending->record.token) {
         grant(context, claim, reply.version);
-    } else if (record->fingerprint != pending.record.fingerprint) {
-        settle(context, claim, ClaimResult::Mismatch, "the request id was used for another request");
+    } else if (record->fingerprint != pending->record.fingerprint) {
+        settleAndForget(context, claim, ClaimResult::Mismatch, "the request id was used for another request");
     } else if (record->finished) {
-        settle(context, claim, ClaimResult::Finished, {}, record->answer);
+        settleAndForget(context, claim, ClaimResult::Finished, {}, record->answer);
+    } else if (record->released && !pending->settled && context.now < pending->deadline) {
+        write(context, claim, PlatformVerb::Update, reply.version);
     } else {
-        settle(context, claim, ClaimResult::InDoubt, "the request was claimed by " + record->host + " and its outcome is not known");
+        settleAndForget(context, claim, ClaimResult::InDoubt, "the request was claimed by " + record->host + " and its outcome is not known");
     }
 }
 
-void handleOutcomeRecorded(ReduceContext &context, const OutcomeRecorded &event)
+void handleClaimReleased(ReduceContext &context, std::uint64_t claim, const PlatformReply &reply)
 {
-    ControlState &state = context.state.control;
-    const auto held = state.heldClaims.find(event.object);
-    if (held == state.heldClaims.end()) {
+    if (findClaim(context, claim) == nullptr) {
         return;
     }
-    auto [version, record] = held->second;
-    state.heldClaims.erase(held);
-    record.finished = true;
-    record.answer = event.answer;
-    PlatformRequest request{PlatformVerb::Update, event.object, version, std::move(record), std::chrono::seconds(1)};
-    callPlatform(context, PlatformPurpose::RecordOutcome, std::move(request));
+    if (reply.outcome == PlatformOutcome::Unknown) {
+        handleUnread(context, claim);
+    } else {
+        context.state.control.claims.erase(claim);
+    }
 }
 }
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "quetzallift/control/burn.h"
+#include "quetzallift/control/callbudget.h"
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/platform.h"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -30,7 +32,9 @@
     ReadHosts,
     CreateClaim,
     ReadClaim,
+    ReleaseClaim,
     RecordOutcome,
+    ReadOutcome,
     ReadBurn,
     WriteBurn,
 };
@@ -41,6 +45,20 @@
     QueryId query;
     std::string object;
     ClaimRecord record;
+    // The time at which the query must know whether it holds the claim.
+    TimePoint deadline = {};
+    PlatformOutcome created = PlatformOutcome::Unknown;
+    unsigned reads = 0;
+    // True once the query was told; the claim is then only looked for in order to release it.
+    bool settled = false;
+};
+
+// The outcome of a claimed request that is not yet known to be recorded.
+struct PendingOutcome {
+    std::string object;
+    std::uint64_t version = 0;
+    ClaimRecord record;
+    unsigned failures = 0;
 };
 
 // A platform call that has not been answered.
@@ -48,6 +66,10 @@
     PlatformPurpose purpose = PlatformPurpose::ReadRollout;
     // Key into pendingClaims, for calls about claims.
     std::uint64_t claim = 0;
+    // Set while the call waits for the budget of calls.
+    std::optional<PlatformRequest> held = {};
+    // True if the budget does not reach the call within its deadline.
+    bool refused = false;
 };
 
 // The state of the control thread.
@@ -74,6 +96,12 @@
     std::uint64_t lastCall = 0;
     std::unordered_map<std::uint64_t, PendingClaim> claims;
     std::uint64_t lastClaim = 0;
+    std::unordered_map<std::uint64_t, PendingOutcome> outcomes;
+    std::uint64_t lastOutcome = 0;
+    CallBudget callBudget;
+    // Calls in a row that the platform did not answer, and since when it answers or does not.
+    unsigned platformFailures = 0;
+    TimePoint platformSince;
     // Versions of the claim objects that this host holds.
     std::unordered_map<std::string, std::pair<std::uint64_t, ClaimRecord>> heldClaims;
     BurnState burn;
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -1,6 +1,9 @@
 #include "quetzallift/control/burn.h"
+#include "quetzallift/control/claims.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/hostlist.h"
+#include "quetzallift/control/outcomes.h"
+#include "quetzallift/control/platformcalls.h"
 #include "quetzallift/control/publish.h"
 #include "quetzallift/control/rollout.h"
 #include "quetzallift/core/reducecontext.h"
@@ -24,6 +27,15 @@
     case TimerKind::BundleRetry:
         readWantedBundle(context);
         break;
+    case TimerKind::PlatformBudget:
+        sendHeldCall(context, PlatformCallId{timer.subject});
+        break;
+    case TimerKind::ClaimRetry:
+        readClaim(context, timer.subject);
+        break;
+    case TimerKind::OutcomeRetry:
+        writeOutcome(context, timer.subject);
+        break;
     case TimerKind::HostListPoll:
         readHostList(context);
         break;
--- a/src/quetzallift/control/platformcalls.cpp
+++ b/src/quetzallift/control/platformcalls.cpp
@@ -4,10 +4,13 @@
 #include "quetzallift/control/claims.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/hostlist.h"
+#include "quetzallift/control/outcomes.h"
+#include "quetzallift/control/publish.h"
 #include "quetzallift/control/rollout.h"
 #include "quetzallift/core/reducecontext.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Quetzallift
 {
@@ -25,14 +28,105 @@
     }
     return "unknown";
 }
+
+bool isWrite(const PlatformRequest &request)
+{
+    return request.verb == PlatformVerb::Create || request.verb == PlatformVerb::Update;
+}
+
+// Keeps since when the platform answers or does not, and publishes a change for the status page.
+void noteReachability(ReduceContext &context, PlatformOutcome outcome)
+{
+    ControlState &state = context.state.control;
+    const bool wasReachable = state.platformFailures == 0 && state.platformSince != TimePoint();
+    const bool answers = outcome != PlatformOutcome::Unknown;
+    state.platformFailures = answers ? 0 : state.platformFailures + 1;
+    if (answers != wasReachable) {
+        state.platformSince = context.now;
+        publish(context);
+    }
+}
+
+void routeReply(ReduceContext &context, const PendingCall &call, const PlatformReply &reply)
+{
+    switch (call.purpose) {
+    case PlatformPurpose::ReadRollout:
+    case PlatformPurpose::WatchRollout:
+        handleRolloutReply(context, reply);
+        break;
+    case PlatformPurpose::ReadBundle:
+        handleBundleReply(context, reply);
+        break;
+    case PlatformPurpose::ReadHosts:
+        handleHostListReply(context, reply);
+        break;
+    case PlatformPurpose::CreateClaim:
+        handleClaimCreated(context, call.claim, reply);
+        break;
+    case PlatformPurpose::ReadClaim:
+        handleClaimRead(context, call.claim, reply);
+        break;
+    case PlatformPurpose::ReadBurn:
+        handleBurnRead(context, reply);
+        break;
+    case PlatformPurpose::WriteBurn:
+        handleBurnWritten(context, reply);
+        break;
+    case PlatformPurpose::ReleaseClaim:
+        handleClaimReleased(context, call.claim, reply);
+        break;
+    case PlatformPurpose::RecordOutcome:
+        handleOutcomeWritten(context, call.claim, reply);
+        break;
+    case PlatformPurpose::ReadOutcome:
+        handleOutcomeRead(context, call.claim, reply);
+        break;
+    }
+}
 }
 
 void callPlatform(ReduceContext &context, PlatformPurpose purpose, PlatformRequest request, std::uint64_t claim)
 {
     ControlState &state = context.state.control;
     const PlatformCallId call{++state.lastCall};
-    state.calls[call] = PendingCall{purpose, claim};
-    context.emit(CallPlatform{call, std::move(request)});
+    const Duration wait = takeCall(state.callBudget, isWrite(request), state.hostList.hosts.size(), context.now, request.timeout);
+    PendingCall &pending = state.calls[call] = PendingCall{purpose, claim};
+    if (wait == Duration::zero()) {
+        context.emit(CallPlatform{call, std::move(request)});
+        return;
+    }
+    pending.refused = wait > request.timeout;
+    const Duration delay = pending.refused ? Duration::zero() : wait;
+    pending.held = std::move(request);
+    context.emit(StartTimer{{TimerKind::PlatformBudget, call.value}, context.now + delay});
+}
+
+void sendHeldCall(ReduceContext &context, PlatformCallId call)
+{
+    const auto found = context.state.control.calls.find(call);
+    if (found == context.state.control.calls.end() || !found->second.held) {
+        return;
+    }
+    const PlatformRequest request = *std::exchange(found->second.held, std::nullopt);
+    if (!found->second.refused) {
+        context.emit(CallPlatform{call, request});
+        return;
+    }
+    const PendingCall pending = found->second;
+    context.state.control.calls.erase(found);
+    PlatformReply reply;
+    // Nothing is known about an object that was not read, but a write that was not sent has not taken effect.
+    reply.outcome = isWrite(request) ? PlatformOutcome::NotApplied : PlatformOutcome::Unknown;
+    reply.detail = "the budget of platform calls of this host is spent";
+    context.emit(CountMetric{Metric::PlatformCalls, "over_budget"});
+    routeReply(context, pending, reply);
+}
+
+bool platformIsDown(const ControlState &state)
+{
+    // One lost answer alone must not refuse requests.
+    constexpr unsigned FailuresWhenDown = 3;
+    return state.platformFailures >= FailuresWhenDown;
 }
 
 Duration jitter(ReduceContext &context, Duration limit)
@@ -59,31 +153,7 @@
     const PendingCall call = found->second;
     state.calls.erase(found);
     context.emit(CountMetric{Metric::PlatformCalls, outcomeName(event.reply.outcome)});
-    switch (call.purpose) {
-    case PlatformPurpose::ReadRollout:
-    case PlatformPurpose::WatchRollout:
-        handleRolloutReply(context, event.reply);
-        break;
-    case PlatformPurpose::ReadBundle:
-        handleBundleReply(context, event.reply);
-        break;
-    case PlatformPurpose::ReadHosts:
-        handleHostListReply(context, event.reply);
-        break;
-    case PlatformPurpose::CreateClaim:
-        handleClaimCreated(context, call.claim, event.reply);
-        break;
-    case PlatformPurpose::ReadClaim:
-        handleClaimRead(context, call.claim, event.reply);
-        break;
-    case PlatformPurpose::ReadBurn:
-        handleBurnRead(context, event.reply);
-        break;
-    case PlatformPurpose::WriteBurn:
-        handleBurnWritten(context, event.reply);
-        break;
-    case PlatformPurpose::RecordOutcome:
-        break;
-    }
+    noteReachability(context, event.reply.outcome);
+    routeReply(context, call, event.reply);
 }
 }
--- a/src/quetzallift/control/publish.cpp
+++ b/src/quetzallift/control/publish.cpp
@@ -37,6 +37,10 @@
     RefPtr<ControlSnapshot> snapshot(new ControlSnapshot);
     snapshot->generation = state.generation;
     snapshot->bundle = state.bundle;
+    snapshot->adoptedAt = state.adoptedAt;
+    snapshot->platformReachable = state.platformFailures == 0;
+    snapshot->platformSince = state.platformSince;
+    snapshot->leaving = state.stopping;
     snapshot->addresses = usableAddresses(state);
     snapshot->addressesVersion = ++state.addressesVersion;
     for (const auto &[name, backEnd] : state.bundle->backEnds) {
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -20,6 +20,9 @@
         break;
     case TimerKind::PlatformRetry:
     case TimerKind::BundleRetry:
+    case TimerKind::PlatformBudget:
+    case TimerKind::ClaimRetry:
+    case TimerKind::OutcomeRetry:
     case TimerKind::HostListPoll:
     case TimerKind::StopLimit:
     case TimerKind::BurnWrite:
--- a/src/quetzallift/edge/bundlecodec.cpp
+++ b/src/quetzallift/edge/bundlecodec.cpp
@@ -156,6 +156,7 @@
         bundle->objectives.push_back(decodeObjective(item));
     }
     fields.rejectUnknown();
+    bundle->content = content.dump();
     bundle->digest = digestOf(content);
     return bundle;
 }
--- a/src/quetzallift/edge/platformcodec.cpp
+++ b/src/quetzallift/edge/platformcodec.cpp
@@ -59,6 +59,7 @@
         {"fingerprint", record.fingerprint},
         {"finished", record.finished},
         {"answer", record.answer},
+        {"released", record.released},
     };
 }
 
@@ -125,6 +126,7 @@
     record.host = fields.text("host");
     record.fingerprint = fields.text("fingerprint", std::string(), MaximumAnswer);
     record.finished = fields.flag("finished", false);
+    record.released = fields.flag("released", false);
     record.answer = fields.text("answer", std::string(), MaximumAnswer);
     return record;
 }
--- a/src/quetzallift/model/controlsnapshot.h
+++ b/src/quetzallift/model/controlsnapshot.h
@@ -29,6 +29,12 @@
     std::map<std::string, unsigned> connectionShares;
     // Searchers that the host list shows as leaving.
     std::set<std::string> leavingSearchers;
+    // For the status page: when the generation came into force, and since when the platform answers or does not.
+    TimePoint adoptedAt;
+    bool platformReachable = false;
+    TimePoint platformSince;
+    // True once this host is stopping.
+    bool leaving = false;
 };
 
 using ControlSnapshotPtr = RefPtr<const ControlSnapshot>;
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -49,6 +49,8 @@
     bool finished = false;
     // The encoded answer, once finished.
     std::string answer;
+    // True if the host gave the claim up before anything was sent; another attempt may take it over.
+    bool released = false;
 };
 
 // One entry of the platform's host list.
--- a/src/quetzallift/query/claim.cpp
+++ b/src/quetzallift/query/claim.cpp
@@ -7,14 +7,25 @@
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/scatter.h"
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace Quetzallift
 {
 namespace
 {
-// Everything in a request that determines what it does.
+// Digest of everything in a request that determines what it does; the claim object must not carry callers' texts.
 std::string fingerprintOf(const QueryRequest &request)
 {
-    return request.backEnd + '\n' + request.key + '\n' + request.text;
+    const std::string content = request.backEnd + '\0' + request.key + '\0' + request.text;
+    const XXH128_hash_t hash = XXH3_128bits(content.data(), content.size());
+    std::array<char, 33> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64, std::uint64_t{hash.high64}, std::uint64_t{hash.low64});
+    return text.data();
 }
 
 void answerInDoubt(ReduceContext &context, RunningQuery &query, const std::string &detail)
