--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -1,6 +1,9 @@
 #include "quetzallift/app/entryhost.h"
 
 #include "quetzallift/app/log.h"
+#include "quetzallift/edge/peercodec.h"
+#include "quetzallift/edge/signature.h"
+#include "quetzallift/model/error.h"
 
 #include <random>
 
@@ -9,12 +12,24 @@
 EntryHost::EntryHost(Settings settings)
     : m_settings(std::move(settings))
     , m_platform(m_loop, m_settings.platform)
+    , m_peers(m_loop,
+              m_settings.host.peerAddress,
+              {[this](const std::string &from, const std::string &bytes) {
+                   receive(from, bytes);
+               },
+               [this](const std::string &address) {
+                   m_metrics.count({Metric::PeerConnectionFailures, {}});
+                   m_loop.dispatch(PeerUnreachable{address});
+               }})
 {
     m_loop.state().control.self = m_settings.host;
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
     };
     m_loop.state().hooks.wallNow = &std::chrono::system_clock::now;
+    m_loop.state().hooks.refusalOf = [this](const RolloutRecord &rollout, const Bundle &bundle) {
+        return approvalRefusal(rollout, bundle, m_settings.approvers, &signatureMatches);
+    };
     m_loop.setEffectHandler([this](const Effect &effect) {
         carryOut(effect);
     });
@@ -46,6 +61,15 @@
     m_loop.post(StopRequested{});
 }
 
+void EntryHost::receive(const std::string &from, const std::string &bytes)
+{
+    try {
+        m_loop.dispatch(PeerMessageArrived{from, decodePeerMessage(bytes, from)});
+    } catch (const Error &error) {
+        writeLog({LogLevel::Warning, error.step(), error.peer(), {}, error.what()}, m_settings.host.name);
+    }
+}
+
 void EntryHost::postToTraffic(const EventBody &event)
 {
     for (const auto &thread : m_traffic) {
@@ -57,6 +81,10 @@
 {
     if (const auto *call = std::get_if<CallPlatform>(&effect)) {
         m_platform.call(*call);
+    } else if (const auto *send = std::get_if<SendPeerMessage>(&effect)) {
+        if (!m_peers.send(send->address, encodePeerMessage(send->message))) {
+            m_loop.dispatch(PeerUnreachable{send->address});
+        }
     } else if (const auto *publish = std::get_if<PublishControlSnapshot>(&effect)) {
         postToTraffic(ControlSnapshotPublished{publish->snapshot});
     } else if (const auto *settle = std::get_if<SettleClaim>(&effect)) {
@@ -67,6 +95,7 @@
         postToTraffic(CutOffRequested{});
     } else if (const auto *exit = std::get_if<Exit>(&effect)) {
         m_exitCode = exit->code;
+        m_peers.shutdown();
         m_loop.stop();
     } else if (const auto *log = std::get_if<WriteLog>(&effect)) {
         writeLog(log->record, m_settings.host.name);
--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -5,6 +5,7 @@
 #include "quetzallift/edge/addresscodec.h"
 #include "quetzallift/edge/httperror.h"
 #include "quetzallift/edge/querycodec.h"
+#include "quetzallift/edge/statuscodec.h"
 #include "quetzallift/model/error.h"
 
 #include <random>
@@ -80,6 +81,8 @@
         exchange->respond(StatusOk, R"({"status":"alive"})");
     } else if (path == "/ready") {
         handleReady(exchange);
+    } else if (path == "/v1/status") {
+        exchange->respond(StatusOk, encodeStatus(m_host, m_loop.state().query.control, Clock::now(), std::chrono::system_clock::now()));
     } else if (path == "/metrics") {
         exchange->respond(StatusOk, m_metrics.page(), "text/plain; version=0.0.4");
     } else {
@@ -144,7 +147,7 @@
     } else if (const auto *claim = std::get_if<RequestClaim>(&effect)) {
         m_postToControl(ClaimRequested{m_number, claim->query, claim->object, claim->fingerprint, claim->timeout});
     } else if (const auto *record = std::get_if<RecordOutcome>(&effect)) {
-        m_postToControl(OutcomeRecorded{record->object, encodeAnswer(record->answer)});
+        m_postToControl(OutcomeRecorded{record->object, encodeRecordedAnswer(record->answer)});
     } else if (const auto *service = std::get_if<ReportService>(&effect)) {
         m_postToControl(ServiceReported{service->table});
     } else if (const auto *stopped = std::get_if<ReportStopped>(&effect)) {
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -5,10 +5,12 @@
 #include "quetzallift/control/sharesstate.h"
 #include "quetzallift/control/spreadstate.h"
 #include "quetzallift/control/stopstate.h"
+#include "quetzallift/control/callbudget.h"
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/platform.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -41,9 +43,11 @@
     ReadHosts,
     CreateClaim,
     ReadClaim,
+    ReleaseClaim,
     RecordOutcome,
     ReadShares,
     WriteShares,
+    ReadOutcome,
     ReadBurn,
     WriteBurn,
 };
@@ -54,6 +58,20 @@
     QueryId query;
     std::string object;
     ClaimRecord record;
+    // The time at which the query must know whether it holds the claim.
+    TimePoint deadline = {};
+    PlatformOutcome created = PlatformOutcome::Unknown;
+    unsigned reads = 0;
+    // True once the query was told; the claim is then only looked for in order to release it.
+    bool settled = false;
+};
+
+// The outcome of a claimed request that is not yet known to be recorded.
+struct PendingOutcome {
+    std::string object;
+    std::uint64_t version = 0;
+    ClaimRecord record;
+    unsigned failures = 0;
 };
 
 // A platform call that has not been answered.
@@ -61,6 +79,10 @@
     PlatformPurpose purpose = PlatformPurpose::ReadRollout;
     // Key into pendingClaims, for calls about claims.
     std::uint64_t claim = 0;
+    // Set while the call waits for the budget of calls.
+    std::optional<PlatformRequest> held = {};
+    // True if the budget does not reach the call within its deadline.
+    bool refused = false;
 };
 
 // The state of the control thread.
@@ -99,6 +121,12 @@
     std::uint64_t lastCall = 0;
     std::unordered_map<std::uint64_t, PendingClaim> claims;
     std::uint64_t lastClaim = 0;
+    std::unordered_map<std::uint64_t, PendingOutcome> outcomes;
+    std::uint64_t lastOutcome = 0;
+    CallBudget callBudget;
+    // Calls in a row that the platform did not answer, and since when it answers or does not.
+    unsigned platformFailures = 0;
+    TimePoint platformSince;
     // Versions of the claim objects that this host holds.
     std::unordered_map<std::string, std::pair<std::uint64_t, ClaimRecord>> heldClaims;
     BurnState burn;
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -1,8 +1,11 @@
 #include "quetzallift/control/burn.h"
+#include "quetzallift/control/claims.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/hostlist.h"
 #include "quetzallift/control/membership.h"
 #include "quetzallift/control/probing.h"
+#include "quetzallift/control/outcomes.h"
+#include "quetzallift/control/platformcalls.h"
 #include "quetzallift/control/publish.h"
 #include "quetzallift/control/rollout.h"
 #include "quetzallift/control/shares.h"
@@ -109,6 +112,15 @@
     case TimerKind::RolloutPoll:
         pollDue(context, timer.subject);
         break;
+    case TimerKind::PlatformBudget:
+        sendHeldCall(context, PlatformCallId{timer.subject});
+        break;
+    case TimerKind::ClaimRetry:
+        readClaim(context, timer.subject);
+        break;
+    case TimerKind::OutcomeRetry:
+        writeOutcome(context, timer.subject);
+        break;
     case TimerKind::HostListPoll:
         hostListDue(context, timer.subject);
         break;
--- a/src/quetzallift/edge/bundlecodec.cpp
+++ b/src/quetzallift/edge/bundlecodec.cpp
@@ -157,8 +157,8 @@
         bundle->objectives.push_back(decodeObjective(item));
     }
     fields.rejectUnknown();
-    bundle->digest = digestOf(content);
     bundle->content = content.dump();
+    bundle->digest = digestOf(content);
     return bundle;
 }
 
--- a/src/quetzallift/model/controlsnapshot.h
+++ b/src/quetzallift/model/controlsnapshot.h
@@ -31,6 +31,12 @@
     std::uint64_t sharesEpoch = 0;
     // Searchers that the host list shows as leaving.
     std::set<std::string> leavingSearchers;
+    // For the status page: when the generation came into force, and since when the platform answers or does not.
+    TimePoint adoptedAt;
+    bool platformReachable = false;
+    TimePoint platformSince;
+    // True once this host is stopping.
+    bool leaving = false;
 };
 
 using ControlSnapshotPtr = RefPtr<const ControlSnapshot>;
--- a/src/quetzallift/model/metric.h
+++ b/src/quetzallift/model/metric.h
@@ -42,6 +42,8 @@
     Refusals,
     // Bundles adopted.
     BundlesAdopted,
+    // Connections to peers that ended with messages not acknowledged.
+    PeerConnectionFailures,
     // Bundles refused by verification; labelled by source.
     BundlesRefused,
     // Calls to the platform; labelled by outcome.
