--- a/stand_ins/load/caller.cpp
+++ b/stand_ins/load/caller.cpp
@@ -167,7 +167,7 @@
     query->tries = tries + 1;
 }
 
-End Caller::judge(const Query &query, const std::string &body) const
+End Caller::judge(const Query &query, const std::string &body)
 {
     const json answer = json::parse(body, nullptr, false);
     if (answer.is_discarded()) {
@@ -178,6 +178,7 @@
     if (status == "refused") {
         return End::Refused;
     }
+    m_tally.addCoverage(answer.value("/coverage/ratio"_json_pointer, 0.0));
     if (status != "whole" && status != "partial") {
         return End::Failed;
     }
--- a/stand_ins/load/caller.h
+++ b/stand_ins/load/caller.h
@@ -39,7 +39,7 @@
     void handleResult(const QueryPtr &query, const std::string &host, const Quetzallift::HttpResult &result);
     void handleClosed(const QueryPtr &query, const std::string &host);
     void end(const QueryPtr &query, End end);
-    End judge(const Query &query, const std::string &body) const;
+    End judge(const Query &query, const std::string &body);
 
     Quetzallift::EventLoop &m_loop;
     CallerPlan m_settings;
--- a/stand_ins/load/main.cpp
+++ b/stand_ins/load/main.cpp
@@ -67,8 +67,9 @@
     Load::Tally total;
     for (const auto &caller : callers) {
         const json summary = caller->tally().summary();
-        print(caller->settings().name + " on " + caller->settings().backEnd, summary);
-        document["callers"][caller->settings().name] = summary;
+        const std::string name = caller->settings().name + " on " + caller->settings().backEnd;
+        print(name, summary);
+        document["callers"][name] = summary;
         total.add(caller->tally());
     }
     document["total"] = total.summary();
--- a/stand_ins/load/tally.cpp
+++ b/stand_ins/load/tally.cpp
@@ -44,6 +44,8 @@
     const bool late = latency > deadline + LateMargin;
     m_late += late ? 1 : 0;
     second.good += late ? 0 : 1;
+    second.whole += end == End::Whole && !late ? 1 : 0;
+    second.slowest = std::max(second.slowest, latency);
     if (measured) {
         m_latencies.push_back(std::chrono::duration<double, std::milli>(latency).count());
     }
@@ -60,7 +62,17 @@
         Second &second = secondAt(std::chrono::seconds(index));
         second.offered += other.m_seconds[index].offered;
         second.good += other.m_seconds[index].good;
+        second.whole += other.m_seconds[index].whole;
+        second.slowest = std::max(second.slowest, other.m_seconds[index].slowest);
     }
+    m_coverageSum += other.m_coverageSum;
+    m_coverageCount += other.m_coverageCount;
+}
+
+void Tally::addCoverage(double ratio)
+{
+    m_coverageSum += ratio;
+    ++m_coverageCount;
 }
 
 json Tally::summary() const
@@ -76,9 +88,13 @@
     }
     json offered = json::array();
     json good = json::array();
+    json whole = json::array();
+    json slowest = json::array();
     for (const Second &second : m_seconds) {
         offered.push_back(second.offered);
         good.push_back(second.good);
+        whole.push_back(second.whole);
+        slowest.push_back(std::chrono::duration<double, std::milli>(second.slowest).count());
     }
     return {
         {"queries", queries},
@@ -95,6 +111,9 @@
         {"p50_ms", quantile(sorted, 0.5)},
         {"p95_ms", quantile(sorted, 0.95)},
         {"p99_ms", quantile(sorted, 0.99)},
+        {"coverage", m_coverageCount == 0 ? 0.0 : m_coverageSum / static_cast<double>(m_coverageCount)},
+        {"whole_by_second", whole},
+        {"slowest_ms_by_second", slowest},
         {"offered_by_second", offered},
         {"good_by_second", good},
     };
--- a/stand_ins/load/tally.h
+++ b/stand_ins/load/tally.h
@@ -33,6 +33,9 @@
     void add(End end, Quetzallift::Duration due, Quetzallift::Duration latency, Quetzallift::Duration deadline, bool measured);
     void add(const Tally &other);
 
+    // Notes the coverage ratio that an answer names.
+    void addCoverage(double ratio);
+
     // All figures; latencies in milliseconds of whole and partial answers.
     nlohmann::json summary() const;
 
@@ -41,12 +44,16 @@
         std::uint64_t offered = 0;
         // Right answers within the deadline.
         std::uint64_t good = 0;
+        std::uint64_t whole = 0;
+        Quetzallift::Duration slowest = Quetzallift::Duration::zero();
     };
 
     Second &secondAt(Quetzallift::Duration due);
 
     std::vector<std::uint64_t> m_ends = std::vector<std::uint64_t>(8, 0);
     std::uint64_t m_late = 0;
+    double m_coverageSum = 0.0;
+    std::uint64_t m_coverageCount = 0;
     // In milliseconds, sorted when the summary is made.
     std::vector<double> m_latencies;
     std::vector<Second> m_seconds;
