Order queues by callers' shares and keep searchers' queues short

Windows grew with the latency baseline until the queue stood at the searchers, and uniform searchers were ejected for the latency of a queue that this host had made.

--- a/src/quetzallift/query/admissionstate.h
+++ b/src/quetzallift/query/admissionstate.h
@@ -4,6 +4,7 @@
 #include "quetzallift/query/baseline.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace Quetzallift
@@ -16,6 +17,8 @@
     // Queries that the caller recently had running at a time, decaying; what it is expected to need again soon.
     double recentPeak = 0.0;
     TimePoint peakAt;
+    // The virtual time at which the caller's next query may start.
+    double nextTag = 0.0;
 };
 
 // The queries of one back end on this thread, and how many may run at a time.
@@ -27,7 +30,11 @@
     TimePoint limitLoweredAt;
     unsigned running = 0;
     AgedMean<Seconds> latency;
-    Baseline baseline;
+    // Latencies of queries vary little, because each is the longest of many sub-requests.
+    Baseline baseline = Baseline::rising(Seconds(600.0));
     std::map<std::string, CallerLoad> callers;
+    // Virtual start times of the running queries, and the virtual time of the back end.
+    std::multiset<double> startTags;
+    double virtualTime = 0.0;
 };
 }
--- a/src/quetzallift/query/admit.cpp
+++ b/src/quetzallift/query/admit.cpp
@@ -147,19 +147,15 @@
     return false;
 }
 
-void noteQueryStarted(ReduceContext &context, const RunningQuery &query)
+void noteQueryStarted(ReduceContext &context, RunningQuery &query)
 {
-    BackEndLoad &load = context.state.query.loads[query.request.backEnd];
-    ++load.running;
-    ++load.callers[query.request.caller].running;
+    query.startTag = startFairly(context.state.query.loads[query.request.backEnd], query.request.caller);
 }
 
 void noteQueryEnded(ReduceContext &context, const RunningQuery &query)
 {
     BackEndLoad &load = context.state.query.loads[query.request.backEnd];
     observeQuery(context, query, load);
-    load.running -= std::min(load.running, 1U);
-    CallerLoad &caller = load.callers[query.request.caller];
-    caller.running -= std::min(caller.running, 1U);
+    endFairly(load, query.request.caller, query.startTag);
 }
 }
--- a/src/quetzallift/query/admit.h
+++ b/src/quetzallift/query/admit.h
@@ -15,7 +15,7 @@
 bool admit(ReduceContext &context, const QueryArrived &event);
 
 // Counts an admitted query until noteQueryEnded.
-void noteQueryStarted(ReduceContext &context, const RunningQuery &query);
+void noteQueryStarted(ReduceContext &context, RunningQuery &query);
 
 // Learns from a query that ends, whatever its outcome, how many may run at a time.
 void noteQueryEnded(ReduceContext &context, const RunningQuery &query);
--- a/src/quetzallift/query/ejection.cpp
+++ b/src/quetzallift/query/ejection.cpp
@@ -16,6 +16,8 @@
 // data centre, so a data centre that is slow as a whole ejects nothing.
 constexpr double LatencyRatio = 4.0;
 constexpr Seconds LatencyFloor{0.02};
+// With a larger window the latency may be a queue that this host made; the window then shrinks first.
+constexpr double LargestOutlierWindow = 2.0;
 constexpr Duration FirstEjection = std::chrono::seconds(1);
 // The ejection time doubles up to 32 s.
 constexpr unsigned MaximumDoublings = 5;
@@ -28,7 +30,7 @@
         return "errors";
     }
     const auto mean = state.dataCentres.find(view.dataCentre);
-    if (view.latency.samples < LeastSamples || mean == state.dataCentres.end()) {
+    if (view.window.size > LargestOutlierWindow || view.latency.samples < AgedMean<Seconds>::WarmUpSamples || mean == state.dataCentres.end()) {
         return nullptr;
     }
     const Seconds limit = std::max(LatencyFloor, mean->second.valueAt(now, {}) * LatencyRatio);
--- a/src/quetzallift/query/fairshare.cpp
+++ b/src/quetzallift/query/fairshare.cpp
@@ -76,4 +76,28 @@
     }
     return self.running + 1.0 > fair && shares > self.share ? LimitVerdict::OverShare : LimitVerdict::BackEndFull;
 }
+
+double startFairly(BackEndLoad &load, const std::string &caller)
+{
+    CallerLoad &self = load.callers[caller];
+    const double tag = std::max(load.virtualTime, self.nextTag);
+    self.nextTag = tag + 1.0 / self.share;
+    load.startTags.insert(tag);
+    ++load.running;
+    ++self.running;
+    return tag;
+}
+
+void endFairly(BackEndLoad &load, const std::string &caller, double startTag)
+{
+    const auto found = load.startTags.find(startTag);
+    if (found != load.startTags.end()) {
+        load.startTags.erase(found);
+    }
+    load.running -= std::min(load.running, 1U);
+    CallerLoad &self = load.callers[caller];
+    self.running -= std::min(self.running, 1U);
+    // The oldest running query sets the time: a caller that was idle starts level with it.
+    load.virtualTime = std::max(load.virtualTime, load.startTags.empty() ? self.nextTag : *load.startTags.begin());
+}
 }
--- a/src/quetzallift/query/fairshare.h
+++ b/src/quetzallift/query/fairshare.h
@@ -23,4 +23,11 @@
 // Whether one more query of the caller may run. A caller within its share is admitted; beyond it, it may borrow what
 // other active callers are not expected to need.
 LimitVerdict fairVerdict(const BackEndLoad &load, const std::string &caller, TimePoint now);
+
+// Counts a query of the caller as running and returns its virtual start time: start-time fair queueing, by which a
+// caller that sends more than its share queues behind itself and not in front of others.
+double startFairly(BackEndLoad &load, const std::string &caller);
+
+// Ends a query that started at a virtual time.
+void endFairly(BackEndLoad &load, const std::string &caller, double startTag);
 }
--- a/src/quetzallift/query/observe.cpp
+++ b/src/quetzallift/query/observe.cpp
@@ -33,6 +33,7 @@
 {
     WindowSample sample;
     sample.window = view.window;
+    sample.slots = view.slots;
     sample.inFlight = view.inFlight + 1;
     sample.shed = shed;
     sample.latency = toDuration(view.latency.value);
@@ -60,6 +61,7 @@
     const auto found = backEnd.searchers.find(address);
     if (found != backEnd.searchers.end()) {
         view.dataCentre = found->second.dataCentre;
+        view.slots = found->second.slots;
         view.connectionCost = found->second.connectionCost;
     }
     return view;
--- a/src/quetzallift/query/querylimit.cpp
+++ b/src/quetzallift/query/querylimit.cpp
@@ -16,10 +16,11 @@
 // Below this part of the limit, load and not the limit determines how much runs.
 constexpr double UsedPart = 0.7;
 
-// Queueing may double the latency; up to half of the target it does no harm, beyond 0.8 of it spread makes answers late.
+// Up to 0.4 of the target, queueing leaves room for the spread of latencies. A back end that needs longer without
+// queueing gets half as much again.
 Duration congestionThreshold(const QueryLimitSample &sample)
 {
-    return std::clamp(sample.baseline * 2, sample.target / 2, sample.target * 4 / 5);
+    return std::max(sample.baseline * 3 / 2, sample.target * 2 / 5);
 }
 }
 
--- a/src/quetzallift/query/runningquery.h
+++ b/src/quetzallift/query/runningquery.h
@@ -39,6 +39,8 @@
     std::vector<ShardProgress> shards;
     std::size_t shardsCovered = 0;
     bool sentAnything = false;
+    // The virtual start time that orders the query among those of other callers.
+    double startTag = 0.0;
     // The platform object of the claim, for requests that may not be repeated.
     std::string claimObject;
 };
--- a/src/quetzallift/query/searcherpool.cpp
+++ b/src/quetzallift/query/searcherpool.cpp
@@ -25,7 +25,7 @@
     if (attempt.queued) {
         const auto query = context.state.query.queries.find(attempt.query);
         if (query != context.state.query.queries.end()) {
-            dequeue(view, attempt, query->second.deadline);
+            dequeue(view, attempt, query->second);
         }
         return false;
     }
--- a/src/quetzallift/query/searcherqueue.cpp
+++ b/src/quetzallift/query/searcherqueue.cpp
@@ -38,7 +38,7 @@
     if (!from.draining && !maySend(context, target)) {
         return false;
     }
-    dequeue(from, attempt, query.deadline);
+    dequeue(from, attempt, query);
     ShardProgress &progress = query.shards[attempt.shardIndex];
     progress.tried.erase(attempt.searcher);
     progress.tried.insert(*replica);
@@ -73,25 +73,25 @@
 {
     const RunningQuery &query = context.state.query.queries.at(attempt.query);
     attempt.queued = true;
-    view.queue.emplace(query.deadline, attempt.id);
+    view.queue.insert({query.startTag, query.deadline, attempt.id});
     context.emit(CountMetric{Metric::QueuedSubRequests, query.request.backEnd});
     scheduleWake(context, view);
 }
 
-void dequeue(SearcherView &view, const Attempt &attempt, TimePoint deadline)
+void dequeue(SearcherView &view, const Attempt &attempt, const RunningQuery &query)
 {
-    view.queue.erase({deadline, attempt.id});
+    view.queue.erase({query.startTag, query.deadline, attempt.id});
 }
 
 void sendQueued(ReduceContext &context, SearcherView &view)
 {
     QueryState &state = context.state.query;
     while (!view.queue.empty() && maySend(context, view)) {
-        const auto [deadline, id] = *view.queue.begin();
+        const AttemptId id = view.queue.begin()->attempt;
         view.queue.erase(view.queue.begin());
         Attempt &attempt = state.attempts.at(id);
         RunningQuery &query = state.queries.at(attempt.query);
-        if (context.now + view.baseline.value < deadline) {
+        if (context.now + view.baseline.value < query.deadline) {
             transmit(context, query, attempt, view);
         } else {
             // The attempt stays with its query, which ends at the same deadline and then says why.
@@ -115,8 +115,9 @@
 void redirectQueue(ReduceContext &context, SearcherView &view)
 {
     QueryState &state = context.state.query;
-    const std::vector<std::pair<TimePoint, AttemptId>> queue(view.queue.begin(), view.queue.end());
-    for (const auto &[deadline, id] : queue) {
+    const std::vector<QueuePosition> queue(view.queue.begin(), view.queue.end());
+    for (const QueuePosition &position : queue) {
+        const AttemptId id = position.attempt;
         const auto found = state.attempts.find(id);
         // Failing an attempt can end its query and with it other attempts of the queue.
         if (found == state.attempts.end() || redirect(context, view, state.queries.at(found->second.query), found->second) || !view.draining) {
--- a/src/quetzallift/query/searcherqueue.h
+++ b/src/quetzallift/query/searcherqueue.h
@@ -6,15 +6,16 @@
 {
 struct Attempt;
 struct ReduceContext;
+struct RunningQuery;
 struct SearcherView;
 
 // Puts an attempt into the queue of its searcher and makes sure that the queue is looked at again.
 void enqueue(ReduceContext &context, SearcherView &view, Attempt &attempt);
 
 // Takes an attempt out of the queue of its searcher.
-void dequeue(SearcherView &view, const Attempt &attempt, TimePoint deadline);
+void dequeue(SearcherView &view, const Attempt &attempt, const RunningQuery &query);
 
-// Sends queued attempts as far as connections and window allow, the earliest deadline first.
+// Sends queued attempts as far as connections and window allow.
 void sendQueued(ReduceContext &context, SearcherView &view);
 
 // Has the queue looked at at this time, unless a timer does so earlier.
--- a/src/quetzallift/query/searcherview.h
+++ b/src/quetzallift/query/searcherview.h
@@ -3,11 +3,11 @@
 #include "quetzallift/model/ids.h"
 #include "quetzallift/query/agedmean.h"
 #include "quetzallift/query/baseline.h"
+#include "quetzallift/query/queueposition.h"
 #include "quetzallift/query/window.h"
 
 #include <set>
 #include <string>
-#include <utility>
 
 namespace Quetzallift
 {
@@ -18,6 +18,7 @@
     std::string address;
     std::string backEnd;
     std::string dataCentre;
+    unsigned slots = 2;
     // The time that the searcher needs for opening a connection.
     Duration connectionCost = Duration::zero();
 
@@ -29,8 +30,8 @@
     TimePoint openingUntil;
     // When the sub-requests in flight were sent.
     std::multiset<TimePoint> sentTimes;
-    // Sub-requests that wait for a connection, the earliest deadline first.
-    std::set<std::pair<TimePoint, AttemptId>> queue;
+    // Sub-requests that wait for a connection, in the order in which they get one.
+    std::set<QueuePosition> queue;
     // The earliest timer that will look at the queue; none if in the past.
     TimePoint wakeAt;
 
--- a/src/quetzallift/query/window.h
+++ b/src/quetzallift/query/window.h
@@ -14,6 +14,8 @@
 // What one reply says about a searcher's load.
 struct WindowSample {
     Window window;
+    // Sub-requests that the searcher runs at a time.
+    unsigned slots = 2;
     // Sub-requests in flight when the reply arrived, its own included.
     unsigned inFlight = 0;
     // True if the searcher refused the sub-request because it has too much work.
--- /dev/null
+++ b/tests/query/connections_test.cpp
@@ -0,0 +1,131 @@
+#include "quetzallift/query/connections.h"
+#include "tests/query/poolfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Quetzallift;
+using std::chrono::milliseconds;
+
+// Guards against more connections to a searcher than this host's share.
+Test(connections, shareIsNeverExceeded)
+{
+    PoolFixture fixture(1, 1);
+    fixture.publishShares(3);
+    fixture.arriveMany(1);
+    fixture.warm("s0r0", 3, 100.0);
+    fixture.arriveMany(9);
+    cr_assert_eq(fixture.sent().size(), 3U);
+    fixture.replyOk(fixture.sent().at(0));
+    cr_assert_eq(fixture.sent().size(), 4U);
+}
+
+// Guards against threads whose parts add up to more than the share, and against a thread that never gets a connection.
+Test(connections, partsOfThreadsAddUpToAtMostTheShare)
+{
+    PoolFixture fixture(1, 1);
+    for (const unsigned share : {1U, 2U, 3U, 4U, 7U, 25U}) {
+        fixture.publishShares(share);
+        std::map<unsigned, unsigned> turns;
+        for (int step = 0; step < 300; ++step) {
+            unsigned sum = 0;
+            for (unsigned thread = 0; thread < 4; ++thread) {
+                fixture.state().query.place = {thread, 4};
+                const unsigned part = connectionPart(fixture.state().query, "s0r0", fixture.now()).connections;
+                turns[thread] += part;
+                sum += part;
+            }
+            cr_assert_leq(sum, share);
+            fixture.advance(milliseconds(7));
+        }
+        for (unsigned thread = 0; thread < 4; ++thread) {
+            cr_assert_gt(turns[thread], 0U);
+        }
+    }
+}
+
+// Guards against a connection that is still used when the turn of another thread has begun.
+Test(connections, rotatingConnectionEndsWithItsTurn)
+{
+    PoolFixture fixture(1, 1);
+    fixture.publishShares(1);
+    fixture.state().query.place = {0, 2};
+    while (connectionPart(fixture.state().query, "s0r0", fixture.now()).connections == 0) {
+        fixture.advance(milliseconds(10));
+    }
+    const ConnectionPart part = connectionPart(fixture.state().query, "s0r0", fixture.now());
+    fixture.arriveMany(1);
+    cr_assert(fixture.sent().at(0).closeAfter);
+    cr_assert(fixture.sent().at(0).request.deadline <= part.until);
+}
+
+// Guards against connections kept above a share that fell, which another host already uses.
+Test(connections, connectionsAboveAFallenShareAreClosed)
+{
+    PoolFixture fixture(1, 1);
+    fixture.publishShares(8);
+    fixture.arriveMany(1);
+    fixture.warm("s0r0", 8, 100.0);
+    fixture.publishShares(1);
+    fixture.arriveMany(2);
+    cr_assert_eq(fixture.sent().size(), 1U);
+    fixture.replyOk(fixture.sent().at(0));
+    cr_assert(fixture.sent().at(1).closeAfter);
+}
+
+// Guards against a burst of connections to a searcher for which opening one is expensive.
+Test(connections, oneConnectionIsOpenedAtATime)
+{
+    PoolFixture fixture(1, 1);
+    fixture.bundle().backEnds["data"].searchers["s0r0"].connectionCost = milliseconds(5);
+    fixture.publish();
+    fixture.arriveMany(1);
+    fixture.warm("s0r0", 1, 100.0);
+    fixture.arriveMany(3);
+    cr_assert_eq(fixture.sent().size(), 1U);
+    fixture.advance(milliseconds(5));
+    fixture.fireSearcherTimers();
+    cr_assert_eq(fixture.sent().size(), 2U);
+}
+
+// Guards against a queued sub-request that is sent although its query has ended.
+Test(connections, cancelledSubRequestLeavesTheQueue)
+{
+    PoolFixture fixture(1, 1);
+    fixture.publishShares(1);
+    fixture.arriveMany(3);
+    fixture.apply(QueryAbandoned{{2}});
+    fixture.replyOk(fixture.sent().at(0));
+    cr_assert_eq(fixture.sent().size(), 2U);
+    cr_assert_eq(fixture.state().query.searchers["s0r0"].queue.size(), 0U);
+}
+
+// Guards against work that is sent after its deadline.
+Test(connections, subRequestPastItsDeadlineIsNotSent)
+{
+    PoolFixture fixture(1, 1);
+    fixture.publishShares(1);
+    fixture.arriveMany(2);
+    fixture.advance(milliseconds(500));
+    fixture.replyOk(fixture.sent().at(0));
+    cr_assert_eq(fixture.sent().size(), 1U);
+    fixture.apply(TimerFired{{TimerKind::QueryDeadline, 2}});
+    const QueryAnswer &answer = fixture.answers().back().answer;
+    cr_assert(answer.execution == Execution::NotRun);
+    cr_assert(answer.missing.at(0).failure.kind == FailureKind::NotSent);
+}
+
+// Guards against shedding that counts as an error, and against a window that stays open under it.
+Test(connections, sheddingLowersTheWindowAndIsNoError)
+{
+    PoolFixture fixture(1, 1);
+    fixture.arriveMany(1);
+    fixture.warm("s0r0", 10, 10.0);
+    fixture.advance(milliseconds(10));
+    SubReply shed = fixture.okReply(fixture.sent().at(0));
+    shed.status = SubReplyStatus::Shed;
+    fixture.apply(SubReplyArrived{fixture.sent().at(0).attempt, shed});
+    const SearcherView &view = fixture.state().query.searchers["s0r0"];
+    cr_assert_lt(view.window.size, 10.0);
+    cr_assert_eq(view.errors.samples, 0U);
+    cr_assert_not(view.draining);
+}
--- /dev/null
+++ b/tests/query/replicachoice_test.cpp
@@ -0,0 +1,159 @@
+#include "quetzallift/query/ejection.h"
+#include "tests/query/poolfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Quetzallift;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+const std::function<std::uint64_t()> First = [] {
+    return std::uint64_t{0};
+};
+
+ReplicaCandidate candidate(milliseconds latency, unsigned load, bool near)
+{
+    return {latency, 0.0, load, 2.0, Duration::zero(), near};
+}
+
+void failOnce(PoolFixture &fixture, FailureKind kind)
+{
+    const SendSubRequest request = fixture.sent().back();
+    fixture.apply(SubRequestFailed{request.attempt, {Step::Wait, request.searcher, kind, {}}});
+}
+
+void reply(PoolFixture &fixture, SubReplyStatus status, bool leaving)
+{
+    SubReply reply = fixture.okReply(fixture.sent().back());
+    reply.status = status;
+    reply.leaving = leaving;
+    fixture.apply(SubReplyArrived{fixture.sent().back().attempt, reply});
+}
+}
+
+// Guards against traffic between data centres while the near replica is as good, and against a near one that is used
+// although its queue is longer than the way.
+Test(replicachoice, nearReplicaIsUsedUntilItsLoadOutweighsTheWay)
+{
+    cr_assert_eq(leastExpectedTime({candidate(milliseconds(10), 0, false), candidate(milliseconds(10), 0, true)}, First), 1U);
+    cr_assert_eq(leastExpectedTime({candidate(milliseconds(24), 0, false), candidate(milliseconds(4), 6, true)}, First), 1U);
+    cr_assert_eq(leastExpectedTime({candidate(milliseconds(24), 0, false), candidate(milliseconds(4), 20, true)}, First), 0U);
+}
+
+// Guards against a replica that is avoided for ever because of one old observation.
+Test(replicachoice, observationsAge)
+{
+    AgedMean<Seconds> mean;
+    mean.add(Seconds(1.0), TimePoint{});
+    cr_assert_gt(mean.valueAt(TimePoint{}, Seconds(0.01)).count(), 0.9);
+    cr_assert_lt(mean.valueAt(TimePoint{} + seconds(20), Seconds(0.01)).count(), 0.02);
+}
+
+// Guards against a shard that loses its last replica to ejection.
+Test(replicachoice, lastReplicaOfAShardIsUsedAlthoughItIsEjected)
+{
+    PoolFixture fixture(1, 1);
+    fixture.arriveMany(1);
+    SearcherView &view = fixture.state().query.searchers["s0r0"];
+    view.ejections = 1;
+    view.ejectedUntil = fixture.now() + seconds(10);
+    fixture.replyOk(fixture.sent().back());
+    fixture.arriveMany(1);
+    cr_assert_eq(fixture.sentTo("s0r0"), 2U);
+}
+
+// Guards against ejecting more than a third of a back end when everything fails, as in a fault of a data centre.
+Test(replicachoice, faultOfEverythingEjectsAThirdAtMost)
+{
+    PoolFixture fixture(9, 1);
+    for (int round = 0; round < 20; ++round) {
+        const std::size_t before = fixture.sent().size();
+        fixture.arriveMany(1);
+        for (std::size_t index = before; index < fixture.sent().size(); ++index) {
+            const SendSubRequest request = fixture.sent().at(index);
+            fixture.apply(SubRequestFailed{request.attempt, {Step::Wait, request.searcher, FailureKind::BadReply, {}}});
+        }
+        fixture.advance(milliseconds(10));
+    }
+    cr_assert_eq(fixture.state().query.ejected["data"].size(), 3U);
+}
+
+// Guards against a searcher that stays ejected after it has recovered.
+Test(replicachoice, ejectedSearcherIsTriedAgain)
+{
+    PoolFixture fixture(3, 1);
+    SearcherView &view = fixture.state().query.searchers["s0r0"];
+    view.ejections = 1;
+    view.ejectedUntil = fixture.now() + seconds(1);
+    cr_assert(isEjected(view, fixture.now()));
+    cr_assert_not(isEjected(view, fixture.now() + seconds(1)));
+}
+
+// Guards against new work for an upstream that leaves, whichever sign shows it first.
+Test(draining, everySignStopsNewWork)
+{
+    const std::vector<std::function<void(PoolFixture &)>> signs = {
+        [](PoolFixture &fixture) {
+            reply(fixture, SubReplyStatus::Draining, false);
+        },
+        [](PoolFixture &fixture) {
+            reply(fixture, SubReplyStatus::Ok, true);
+        },
+        [](PoolFixture &fixture) {
+            fixture.publishShares(25, {"s0r0"});
+        },
+        [](PoolFixture &fixture) {
+            failOnce(fixture, FailureKind::ConnectionRefused);
+        },
+        [](PoolFixture &fixture) {
+            failOnce(fixture, FailureKind::ConnectionReset);
+            fixture.arriveMany(1);
+            failOnce(fixture, FailureKind::ConnectionReset);
+        },
+    };
+    for (const auto &sign : signs) {
+        PoolFixture fixture(1, 1);
+        fixture.arriveMany(1);
+        sign(fixture);
+        const std::size_t before = fixture.sent().size();
+        fixture.arriveMany(3);
+        cr_assert_eq(fixture.sent().size(), before);
+    }
+}
+
+// Guards against queued work that is sent to a searcher after it began to leave.
+Test(draining, queuedWorkMovesToAnotherReplica)
+{
+    PoolFixture fixture(1, 2);
+    fixture.publishShares(1);
+    fixture.arriveMany(4);
+    cr_assert_eq(fixture.sentTo("s0r0"), 1U);
+    const SendSubRequest first = fixture.sent().at(0);
+    SubReply leaving = fixture.okReply(first);
+    leaving.leaving = true;
+    fixture.apply(SubReplyArrived{first.attempt, leaving});
+    fixture.fireSearcherTimers();
+    cr_assert_eq(fixture.state().query.searchers[first.searcher].queue.size(), 0U);
+    cr_assert_eq(fixture.sentTo(first.searcher), 1U);
+}
+
+// Guards against a searcher that is never used again, and against one that gets work while its health page is not well.
+Test(draining, searcherIsUsedAgainAfterAHealthyProbe)
+{
+    PoolFixture fixture(1, 1);
+    fixture.arriveMany(1);
+    reply(fixture, SubReplyStatus::Ok, true);
+    fixture.advance(seconds(1));
+    fixture.fireSearcherTimers();
+    cr_assert_eq(fixture.count<ProbeSearcher>(), 1U);
+    fixture.apply(SearcherProbed{"s0r0", false});
+    fixture.arriveMany(1);
+    cr_assert_eq(fixture.sent().size(), 1U);
+    fixture.advance(seconds(2));
+    fixture.fireSearcherTimers();
+    fixture.apply(SearcherProbed{"s0r0", true});
+    fixture.arriveMany(3);
+    cr_assert_eq(fixture.sent().size(), 2U);
+}
