Eject silent searchers and bring them back by health probe

A cut-off searcher never counted as failing, because its query's deadline cancelled the sub-request before a timeout showed it, and an ejected one was tried again with a real sub-request.

--- a/src/quetzallift/query/draining.cpp
+++ b/src/quetzallift/query/draining.cpp
@@ -2,6 +2,7 @@
 
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/connections.h"
+#include "quetzallift/query/ejection.h"
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/observe.h"
 #include "quetzallift/query/searcherqueue.h"
@@ -26,6 +27,17 @@
     const Duration jitter = interval * static_cast<Duration::rep>(context.state.hooks.random() % Steps) / static_cast<Duration::rep>(Steps);
     context.emit(StartTimer{{TimerKind::SearcherProbe, view.number}, context.now + interval / 2 + jitter / 2});
 }
+
+// Plans the next probe of a searcher that is not back.
+void keepAway(ReduceContext &context, SearcherView &view)
+{
+    if (view.draining) {
+        ++view.probesFailed;
+        scheduleProbe(context, view);
+    } else {
+        extendEjection(context, view);
+    }
+}
 }
 
 void startDraining(ReduceContext &context, SearcherView &view, const char *sign)
@@ -60,9 +72,10 @@
     }
 }
 
-void probeIfDraining(ReduceContext &context, SearcherView &view)
+void probeHealth(ReduceContext &context, SearcherView &view)
 {
-    if (!view.draining || view.probing) {
+    const bool ejectionDue = view.ejected && context.now >= view.ejectedUntil;
+    if ((!view.draining && !ejectionDue) || view.probing) {
         return;
     }
     const ConnectionPart part = connectionPart(context.state.query, view.address, context.now);
@@ -84,11 +97,13 @@
     SearcherView &view = found->second;
     view.probing = false;
     if (!event.healthy || view.listedLeaving) {
-        ++view.probesFailed;
-        scheduleProbe(context, view);
+        keepAway(context, view);
         return;
     }
     view.draining = false;
+    if (view.ejected) {
+        endEjection(context, view);
+    }
     startCold(context, view);
     context.emit(CountMetric{Metric::SearchersBack, view.backEnd});
 }
--- a/src/quetzallift/query/ejection.h
+++ b/src/quetzallift/query/ejection.h
@@ -11,9 +11,12 @@
 // Ejects a searcher whose errors or latency stand out, unless a third of the back end's searchers is ejected already.
 void ejectIfOutlier(ReduceContext &context, SearcherView &view);
 
-// True while the searcher should only get work for shards without another replica.
-bool isEjected(const SearcherView &view, TimePoint now);
+// Extends the ejection of a searcher whose health probe failed.
+void extendEjection(ReduceContext &context, SearcherView &view);
 
-// Ends the probation of a searcher that served a sub-request well after its ejection.
-void notePassedProbation(SearcherView &view, TimePoint now);
+// Ends an ejection: the searcher starts cold.
+void endEjection(ReduceContext &context, SearcherView &view);
+
+// Forgets earlier ejections of a searcher that has served well for long.
+void forgiveEjections(SearcherView &view, TimePoint now);
 }
--- a/src/quetzallift/query/observe.cpp
+++ b/src/quetzallift/query/observe.cpp
@@ -113,6 +113,7 @@
 void observeError(ReduceContext &context, SearcherView &view)
 {
     view.errors.add(1.0, context.now);
+    ++view.failuresInARow;
 }
 
 void startCold(ReduceContext &context, SearcherView &view)
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -7,6 +7,7 @@
 #include "quetzallift/query/servicecounting.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -43,8 +44,8 @@
     std::uint64_t lastSearcher = 0;
     // Mean latency of the searchers of each data centre.
     std::map<std::string, AgedMean<Seconds>> dataCentres;
-    // Ejected searchers and when their ejection ends, by back end.
-    std::map<std::string, std::map<std::string, TimePoint>> ejected;
+    // Ejected searchers, by back end.
+    std::map<std::string, std::set<std::string>> ejected;
     // Running queries, limits and callers' use, by back end.
     std::map<std::string, BackEndLoad> loads;
     // This thread among the traffic threads of the host, and the host's data centre.
--- a/src/quetzallift/query/searcherpool.cpp
+++ b/src/quetzallift/query/searcherpool.cpp
@@ -66,7 +66,7 @@
         break;
     case FailureKind::ConnectionReset:
         observeError(context, view);
-        if (++view.failuresInARow >= ClosedConnectionsLimit) {
+        if (view.failuresInARow >= ClosedConnectionsLimit) {
             startDraining(context, view, "connections closed");
         }
         break;
@@ -105,7 +105,7 @@
         ejectIfOutlier(context, view);
     } else if (reply.status == SubReplyStatus::Ok) {
         observeServed(context, view, context.now - attempt.sentAt);
-        notePassedProbation(view, context.now);
+        forgiveEjections(view, context.now);
         ejectIfOutlier(context, view);
     }
     // A reply sent before the searcher began to leave does not show that it stays: only a health probe ends draining.
@@ -129,7 +129,7 @@
         if (query.shards[shardIndex].tried.contains(replica) || view.draining || part.never) {
             continue;
         }
-        const bool poor = isEjected(view, context.now) || part.connections == 0;
+        const bool poor = view.ejected || part.connections == 0;
         (poor ? spare : usable).add(replica, candidateOf(state, view, context.now));
     }
     const Candidates &candidates = usable.views.empty() ? spare : usable;
@@ -176,7 +176,14 @@
     if (!release(context, view, attempt, false)) {
         return;
     }
-    observeUnanswered(context, view, context.now - attempt.sentAt);
+    const Duration elapsed = context.now - attempt.sentAt;
+    // A searcher that sent nothing at all for long is cut off; its query's deadline ends before a timeout shows it.
+    const bool silent = view.lastReplyAt < attempt.sentAt && elapsed >= patience(context, view);
+    observeUnanswered(context, view, elapsed);
+    if (silent) {
+        observeError(context, view);
+        ejectIfOutlier(context, view);
+    }
     // Not at once: the next in the queue may belong to the same query and be cancelled by the same event.
     if (!view.queue.empty()) {
         wakeQueue(context, view, context.now);
--- a/src/quetzallift/query/searcherqueue.cpp
+++ b/src/quetzallift/query/searcherqueue.cpp
@@ -3,7 +3,6 @@
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/connections.h"
 #include "quetzallift/query/draining.h"
-#include "quetzallift/query/ejection.h"
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/observe.h"
 #include "quetzallift/query/searcherpool.h"
@@ -20,13 +19,6 @@
 constexpr int SilentRatio = 3;
 constexpr Duration LeastSilence = std::chrono::milliseconds(20);
 
-// When queued work is offered to other replicas although nothing was heard from the searcher.
-Duration patience(const ReduceContext &context, const SearcherView &view)
-{
-    const Seconds latency = view.latency.valueAt(context.now, Seconds{});
-    return std::max(LeastSilence, std::chrono::duration_cast<Duration>(latency * SilentRatio));
-}
-
 // Puts an attempt for a busy or silent searcher on a replica that can be sent it now. Returns false if there is none.
 bool redirect(ReduceContext &context, SearcherView &from, RunningQuery &query, Attempt &attempt)
 {
@@ -63,6 +55,12 @@
 }
 }
 
+Duration patience(const ReduceContext &context, const SearcherView &view)
+{
+    const Seconds latency = view.latency.valueAt(context.now, Seconds{});
+    return std::max(LeastSilence, std::chrono::duration_cast<Duration>(latency * SilentRatio));
+}
+
 bool maySend(const ReduceContext &context, const SearcherView &view)
 {
     return !view.draining && view.inFlight + 1.0 <= view.window.size
@@ -136,12 +134,12 @@
     }
     SearcherView &view = state.searchers.at(number->second);
     if (timer.kind == TimerKind::SearcherProbe) {
-        probeIfDraining(context, view);
+        probeHealth(context, view);
         return;
     }
     sendQueued(context, view);
     const bool silent = !view.sentTimes.empty() && context.now - std::max(*view.sentTimes.begin(), view.lastReplyAt) >= patience(context, view);
-    if (view.draining || isEjected(view, context.now) || silent) {
+    if (view.draining || view.ejected || silent) {
         redirectQueue(context, view);
     }
     if (!view.queue.empty()) {
--- a/src/quetzallift/query/searcherqueue.h
+++ b/src/quetzallift/query/searcherqueue.h
@@ -27,4 +27,7 @@
 
 // True if the searcher can be sent one more sub-request now.
 bool maySend(const ReduceContext &context, const SearcherView &view);
+
+// The time after which a searcher that has work and sent no reply is taken as silent.
+Duration patience(const ReduceContext &context, const SearcherView &view);
 }
--- a/src/quetzallift/query/searcherview.h
+++ b/src/quetzallift/query/searcherview.h
@@ -43,9 +43,10 @@
     AgedMean<double> errors;
     TimePoint lastReplyAt;
 
-    // Connections that failed since the last reply.
+    // Sub-requests that failed since the last reply.
     unsigned failuresInARow = 0;
-    // No work before this time, unless a shard has no other replica.
+    // True if the searcher gets no work as long as a shard has another replica. A health probe ends this.
+    bool ejected = false;
     TimePoint ejectedUntil;
     unsigned ejections = 0;
     // True if the searcher announced that it leaves or does not take connections. Only a health probe ends this.
