--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "quetzallift/control/burn.h"
+#include "quetzallift/control/callbudget.h"
 #include "quetzallift/control/membershipstate.h"
 #include "quetzallift/control/sharesstate.h"
 #include "quetzallift/control/spreadstate.h"
 #include "quetzallift/control/stopstate.h"
-#include "quetzallift/control/callbudget.h"
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/platform.h"
 
--- a/src/quetzallift/control/publish.cpp
+++ b/src/quetzallift/control/publish.cpp
@@ -35,7 +35,7 @@
     snapshot->adoptedAt = state.adoptedAt;
     snapshot->platformReachable = state.platformFailures == 0;
     snapshot->platformSince = state.platformSince;
-    snapshot->leaving = state.stopping;
+    snapshot->leaving = state.stop.requested;
     snapshot->addresses = usableAddresses(state);
     snapshot->addressesVersion = addressesVersion(snapshot->addresses);
     snapshot->addressesKeepFor = state.self.addressesKeepFor;
--- a/src/quetzallift/query/arrive.cpp
+++ b/src/quetzallift/query/arrive.cpp
@@ -9,8 +9,8 @@
 #include "quetzallift/query/plan.h"
 #include "quetzallift/query/probe.h"
 #include "quetzallift/query/scatter.h"
-#include "quetzallift/query/straggler.h"
 #include "quetzallift/query/sharesapplied.h"
+#include "quetzallift/query/straggler.h"
 
 #include <algorithm>
 
--- a/src/quetzallift/query/querystate.h
+++ b/src/quetzallift/query/querystate.h
@@ -1,15 +1,16 @@
 #pragma once
 
 #include "quetzallift/model/controlsnapshot.h"
+#include "quetzallift/query/admissionstate.h"
 #include "quetzallift/query/backendview.h"
 #include "quetzallift/query/endedattempts.h"
 #include "quetzallift/query/replicarecord.h"
-#include "quetzallift/query/admissionstate.h"
 #include "quetzallift/query/runningquery.h"
 #include "quetzallift/query/searcherview.h"
 #include "quetzallift/query/servicecounting.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -61,8 +62,8 @@
     std::uint64_t lastSearcher = 0;
     // Mean latency of the searchers of each data centre.
     std::map<std::string, AgedMean<Seconds>> dataCentres;
-    // Ejected searchers and when their ejection ends, by back end.
-    std::map<std::string, std::map<std::string, TimePoint>> ejected;
+    // Ejected searchers, by back end.
+    std::map<std::string, std::set<std::string>> ejected;
     // Running queries, limits and callers' use, by back end.
     std::map<std::string, BackEndLoad> loads;
     // This thread among the traffic threads of the host, and the host's data centre.
--- a/src/quetzallift/query/runningquery.h
+++ b/src/quetzallift/query/runningquery.h
@@ -59,6 +59,8 @@
     bool targetPassed = false;
     // True from the request of a claim until it is settled.
     bool claimPending = false;
+    // The virtual start time that orders the query among those of other callers.
+    double startTag = 0.0;
     // The platform object of the claim once it is granted, for requests that may not be repeated.
     std::string claimObject;
     // True for a query of the tier's own, which learns what searchers serve and has no caller.
--- a/src/quetzallift/query/searcherqueue.cpp
+++ b/src/quetzallift/query/searcherqueue.cpp
@@ -3,7 +3,6 @@
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/query/connections.h"
 #include "quetzallift/query/draining.h"
-#include "quetzallift/query/ejection.h"
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/observe.h"
 #include "quetzallift/query/searcherpool.h"
@@ -20,13 +19,6 @@
 constexpr int SilentRatio = 3;
 constexpr Duration LeastSilence = std::chrono::milliseconds(20);
 
-// When queued work is offered to other replicas although nothing was heard from the searcher.
-Duration patience(const ReduceContext &context, const SearcherView &view)
-{
-    const Seconds latency = view.latency.valueAt(context.now, Seconds{});
-    return std::max(LeastSilence, std::chrono::duration_cast<Duration>(latency * SilentRatio));
-}
-
 // Puts an attempt for a busy or silent searcher on a replica that can be sent it now. Returns false if there is none.
 bool redirect(ReduceContext &context, SearcherView &from, RunningQuery &query, Attempt &attempt)
 {
@@ -38,7 +30,7 @@
     if (!from.draining && !maySend(context, target)) {
         return false;
     }
-    dequeue(from, attempt, query.deadline);
+    dequeue(from, attempt, query);
     ShardProgress &progress = query.shards[attempt.shardIndex];
     progress.tried.erase(attempt.searcher);
     progress.tried.insert(*replica);
@@ -63,6 +55,12 @@
 }
 }
 
+Duration patience(const ReduceContext &context, const SearcherView &view)
+{
+    const Seconds latency = view.latency.valueAt(context.now, Seconds{});
+    return std::max(LeastSilence, std::chrono::duration_cast<Duration>(latency * SilentRatio));
+}
+
 bool maySend(const ReduceContext &context, const SearcherView &view)
 {
     return !view.draining && view.inFlight + 1.0 <= view.window.size
@@ -73,25 +71,25 @@
 {
     const RunningQuery &query = context.state.query.queries.at(attempt.query);
     attempt.queued = true;
-    view.queue.emplace(query.deadline, attempt.id);
+    view.queue.insert({query.startTag, query.deadline, attempt.id});
     context.emit(CountMetric{Metric::QueuedSubRequests, query.request.backEnd});
     scheduleWake(context, view);
 }
 
-void dequeue(SearcherView &view, const Attempt &attempt, TimePoint deadline)
+void dequeue(SearcherView &view, const Attempt &attempt, const RunningQuery &query)
 {
-    view.queue.erase({deadline, attempt.id});
+    view.queue.erase({query.startTag, query.deadline, attempt.id});
 }
 
 void sendQueued(ReduceContext &context, SearcherView &view)
 {
     QueryState &state = context.state.query;
     while (!view.queue.empty() && maySend(context, view)) {
-        const auto [deadline, id] = *view.queue.begin();
+        const AttemptId id = view.queue.begin()->attempt;
         view.queue.erase(view.queue.begin());
         Attempt &attempt = state.attempts.at(id);
         RunningQuery &query = state.queries.at(attempt.query);
-        if (context.now + view.baseline.value < deadline) {
+        if (context.now + view.baseline.value < query.deadline) {
             transmit(context, query, attempt, view);
         } else {
             // The attempt stays with its query, which ends at the same deadline and then says why.
@@ -115,8 +113,9 @@
 void redirectQueue(ReduceContext &context, SearcherView &view)
 {
     QueryState &state = context.state.query;
-    const std::vector<std::pair<TimePoint, AttemptId>> queue(view.queue.begin(), view.queue.end());
-    for (const auto &[deadline, id] : queue) {
+    const std::vector<QueuePosition> queue(view.queue.begin(), view.queue.end());
+    for (const QueuePosition &position : queue) {
+        const AttemptId id = position.attempt;
         const auto found = state.attempts.find(id);
         // Failing an attempt can end its query and with it other attempts of the queue.
         if (found == state.attempts.end() || redirect(context, view, state.queries.at(found->second.query), found->second) || !view.draining) {
@@ -135,12 +134,12 @@
     }
     SearcherView &view = state.searchers.at(number->second);
     if (timer.kind == TimerKind::SearcherProbe) {
-        probeIfDraining(context, view);
+        probeHealth(context, view);
         return;
     }
     sendQueued(context, view);
     const bool silent = !view.sentTimes.empty() && context.now - std::max(*view.sentTimes.begin(), view.lastReplyAt) >= patience(context, view);
-    if (view.draining || isEjected(view, context.now) || silent) {
+    if (view.draining || view.ejected || silent) {
         redirectQueue(context, view);
     }
     if (!view.queue.empty()) {
--- a/src/quetzallift/query/searcherview.h
+++ b/src/quetzallift/query/searcherview.h
@@ -3,11 +3,11 @@
 #include "quetzallift/model/ids.h"
 #include "quetzallift/query/agedmean.h"
 #include "quetzallift/query/baseline.h"
+#include "quetzallift/query/queueposition.h"
 #include "quetzallift/query/window.h"
 
 #include <set>
 #include <string>
-#include <utility>
 
 namespace Quetzallift
 {
@@ -18,6 +18,7 @@
     std::string address;
     std::string backEnd;
     std::string dataCentre;
+    unsigned slots = 2;
     // The time that the searcher needs for opening a connection.
     Duration connectionCost = Duration::zero();
 
@@ -29,8 +30,8 @@
     TimePoint openingUntil;
     // When the sub-requests in flight were sent.
     std::multiset<TimePoint> sentTimes;
-    // Sub-requests that wait for a connection, the earliest deadline first.
-    std::set<std::pair<TimePoint, AttemptId>> queue;
+    // Sub-requests that wait for a connection, in the order in which they get one.
+    std::set<QueuePosition> queue;
     // The earliest timer that will look at the queue; none if in the past.
     TimePoint wakeAt;
 
@@ -42,9 +43,10 @@
     AgedMean<double> errors;
     TimePoint lastReplyAt;
 
-    // Connections that failed since the last reply.
+    // Sub-requests that failed since the last reply.
     unsigned failuresInARow = 0;
-    // No work before this time, unless a shard has no other replica.
+    // True if the searcher gets no work as long as a shard has another replica. A health probe ends this.
+    bool ejected = false;
     TimePoint ejectedUntil;
     unsigned ejections = 0;
     // True if the searcher announced that it leaves or does not take connections. Only a health probe ends this.
@@ -53,6 +55,5 @@
     bool listedLeaving = false;
     bool probing = false;
     unsigned probesFailed = 0;
-
 };
 }
--- a/tests/control/callbudget_test.cpp
+++ b/tests/control/callbudget_test.cpp
@@ -26,8 +26,7 @@
 {
     CallBudget budget;
     const TimePoint now = TimePoint() + std::chrono::hours(1);
-    while (takeCall(budget, true, 250, now, Duration::zero()) == Duration::zero()) {
-    }
+    while (takeCall(budget, true, 250, now, Duration::zero()) == Duration::zero()) { }
     const Duration wait = takeCall(budget, true, 250, now, Duration::zero());
     cr_assert_gt(wait.count(), 0);
     cr_assert_eq(takeCall(budget, true, 250, now, Duration::zero()).count(), wait.count());
