--- a/src/quetzallift/query/probe.cpp
+++ b/src/quetzallift/query/probe.cpp
@@ -61,7 +61,7 @@
 }
 }
 
-void probeNewestLayout(ReduceContext &context, const RunningQuery &query)
+void probeNewestLayout(ReduceContext &context, RunningQuery &query)
 {
     QueryState &state = context.state.query;
     const Layout &newest = query.backEnd->layouts.back();
@@ -78,6 +78,7 @@
         state.queries.erase(id);
         return;
     }
+    query.mayHaveRun = true;
     context.emit(CountMetric{Metric::Probes, query.request.backEnd, static_cast<double>(running.attemptsWaiting)});
     context.emit(StartTimer{{TimerKind::QueryDeadline, id.value}, running.answerAt});
 }
--- a/src/quetzallift/query/replicarecord.cpp
+++ b/src/quetzallift/query/replicarecord.cpp
@@ -2,6 +2,8 @@
 
 #include "quetzallift/model/subrequest.h"
 
+#include <algorithm>
+
 namespace Quetzallift
 {
 bool ReplicaRecord::knowsSnapshots() const
@@ -29,8 +31,14 @@
 
 void ReplicaRecord::learnLatency(Duration latency)
 {
-    // An eighth a sample follows a searcher that turns slow within about ten replies.
-    constexpr int Weight = 8;
-    usualLatency = usualLatency ? *usualLatency + (latency - *usualLatency) / Weight : latency;
+    // Steps of a fixed size find the median: one straggler must not make a replica look slow to the next hedge. With an
+    // eighth a searcher that turns ten times slower is recognised after about 20 replies.
+    constexpr int Steps = 8;
+    if (!usualLatency) {
+        usualLatency = latency;
+        return;
+    }
+    const Duration step = std::min(*usualLatency / Steps + Duration(1), std::chrono::abs(latency - *usualLatency));
+    *usualLatency += latency < *usualLatency ? -step : step;
 }
 }
--- a/src/quetzallift/query/replicarecord.h
+++ b/src/quetzallift/query/replicarecord.h
@@ -24,7 +24,7 @@
     // older index. Returns true if it changed.
     bool learnSnapshots(AttemptId attempt, const SubReply &reply);
 
-    // Moves the usual latency towards a new one.
+    // Moves the usual latency, a running median, towards a new one.
     void learnLatency(Duration latency);
 };
 }
--- a/src/quetzallift/query/retry.cpp
+++ b/src/quetzallift/query/retry.cpp
@@ -30,7 +30,10 @@
 {
     context.emit(CountMetric{Metric::SubRequestFailures, toString(failure.kind)});
     ShardProgress &progress = query.shards[shardIndex];
-    progress.lastFailure = std::move(failure);
+    // The rows of a truncated reply stay, so a later failure must not hide that they are cut off.
+    if (!progress.lastFailure || progress.lastFailure->kind != FailureKind::Truncated) {
+        progress.lastFailure = std::move(failure);
+    }
     if (!query.request.repeatable || query.probe || progress.covered || !progress.waiting.empty()) {
         return;
     }
--- a/src/quetzallift/query/scatter.cpp
+++ b/src/quetzallift/query/scatter.cpp
@@ -11,7 +11,11 @@
     QueryState &state = context.state.query;
     ShardProgress &progress = query.shards[shardIndex];
     const AttemptId id{++state.lastAttempt};
-    state.attempts[id] = Attempt{query.id, shardIndex, replica, {}, context.now};
+    Attempt &attempt = state.attempts[id];
+    attempt.query = query.id;
+    attempt.shardIndex = shardIndex;
+    attempt.searcher = replica;
+    attempt.plannedAt = context.now;
     progress.tried.insert(replica);
     progress.waiting.insert(id);
     ++query.attemptsWaiting;
