--- a/src/quetzallift/control/hostlist.cpp
+++ b/src/quetzallift/control/hostlist.cpp
@@ -2,6 +2,7 @@
 
 #include "quetzallift/control/membership.h"
 #include "quetzallift/control/platformcalls.h"
+#include "quetzallift/control/publish.h"
 #include "quetzallift/control/watchers.h"
 #include "quetzallift/core/reducecontext.h"
 
@@ -31,9 +32,13 @@
     state.hostListCalling = false;
     const auto *hosts = std::get_if<HostListRecord>(&reply.value);
     if (reply.outcome == PlatformOutcome::Applied && hosts != nullptr) {
+        const std::set<std::string> leavingBefore = leavingSearchers(state);
         state.hostList = *hosts;
         state.hostListReadAt = state.hostListAskedAt;
         seedMembers(context, *hosts);
+        if (leavingSearchers(state) != leavingBefore) {
+            publish(context);
+        }
     }
     const Duration wait = state.watching ? PollPeriod / 2 + jitter(context, PollPeriod) : pollPeriod(context);
     context.emit(StartTimer{{TimerKind::HostListPoll, ++state.hostListSerial}, context.now + wait});
--- a/src/quetzallift/control/publish.cpp
+++ b/src/quetzallift/control/publish.cpp
@@ -4,6 +4,8 @@
 #include "quetzallift/control/sharesplan.h"
 #include "quetzallift/core/reducecontext.h"
 
+#include <algorithm>
+
 namespace Quetzallift
 {
 namespace
@@ -22,6 +24,23 @@
 }
 }
 
+std::set<std::string> leavingSearchers(const ControlState &state)
+{
+    std::set<std::string> leaving;
+    if (!state.bundle) {
+        return leaving;
+    }
+    for (const ListedHost &host : state.hostList.hosts) {
+        const bool listed = host.leaving && std::any_of(state.bundle->backEnds.begin(), state.bundle->backEnds.end(), [&](const auto &backEnd) {
+                                return backEnd.second.searchers.contains(host.address);
+                            });
+        if (listed) {
+            leaving.insert(host.address);
+        }
+    }
+    return leaving;
+}
+
 void publish(ReduceContext &context)
 {
     ControlState &state = context.state.control;
@@ -39,6 +58,7 @@
     snapshot->addresses = usableAddresses(state);
     snapshot->addressesVersion = addressesVersion(snapshot->addresses);
     snapshot->addressesKeepFor = state.self.addressesKeepFor;
+    snapshot->leavingSearchers = leavingSearchers(state);
     addShares(state, *snapshot);
     context.emit(PublishControlSnapshot{snapshot});
 }
--- a/src/quetzallift/query/finish.cpp
+++ b/src/quetzallift/query/finish.cpp
@@ -153,7 +153,10 @@
     for (ShardProgress &shard : query.shards) {
         cancelWaiting(context, query, shard);
     }
-    noteQueryEnded(context, query);
+    // A probe was not admitted, and its time says nothing about callers' queries.
+    if (!query.probe) {
+        noteQueryEnded(context, query);
+    }
     context.state.query.queries.erase(query.id);
     reportStopped(context);
 }
