--- a/src/quetzallift/control/burn.cpp
+++ b/src/quetzallift/control/burn.cpp
@@ -62,7 +62,7 @@
     if (burn.superseded) {
         return;
     }
-    if (burn.merged) {
+    if (burn.versionKnown) {
         writeRecord(context);
     } else {
         readRecord(context);
@@ -85,6 +85,7 @@
         burn.record.addEarlierRun(*stored);
     }
     burn.version = reply.version;
+    burn.versionKnown = true;
     burn.merged = true;
     writeRecord(context);
 }
@@ -95,7 +96,8 @@
         context.state.control.burn.version = reply.version;
         return;
     }
-    // The version is no longer known: an answer was lost, or another run wrote. The object tells which.
-    readRecord(context);
+    // An answer was lost, or another run wrote. The object tells which before the next write, a period from now: reading
+    // at once would repeat without pause while the platform refuses every write.
+    context.state.control.burn.versionKnown = false;
 }
 }
--- a/src/quetzallift/control/burn.h
+++ b/src/quetzallift/control/burn.h
@@ -13,6 +13,8 @@
     BurnRecord record;
     // Version of the platform object, 0 if it does not exist.
     std::uint64_t version = 0;
+    // False until the object was read, and after a write of which the outcome is not known.
+    bool versionKnown = false;
     // True once the counts of an earlier run are part of the record.
     bool merged = false;
     // True once another run of this host writes the object.
