Keep searcher connections registered between requests

Each sub-request removed and added its socket in the reactor several times, each change of curl's timer set another timer of the loop, and the reactor blocked signals around each event. A socket now stays registered while its connection is kept, one timer of the loop serves curl's, and the signal mask is left alone. The settings block 'experiment' turns hedges off for comparison.

--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -20,10 +20,6 @@
         file.write("\n")
 
 
-# Entry hosts refuse settings that they do not know; they know no naive mode yet.
-NAIVE_READY = False
-
-
 class Layout:
     """One deployment with its addresses. number (1 to 4) keeps deployments on one machine apart."""
 
@@ -142,7 +138,7 @@
             "host": {**host, "traffic_threads": traffic_threads, "stop_limit_ms": 20000},
             "platform": {"address": self.platform},
         }
-        if naive and False:
+        if naive:
             settings["experiment"] = {"naive": True}
         return settings
 
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -62,6 +62,11 @@
     JsonFields platform = fields.object("platform");
     settings.platform = address(platform, "address");
     platform.rejectUnknown();
+    if (fields.has("experiment")) {
+        JsonFields experiment = fields.object("experiment");
+        settings.naive = experiment.flag("naive", false);
+        experiment.rejectUnknown();
+    }
     fields.rejectUnknown();
     return settings;
 }
--- a/src/quetzallift/app/settings.h
+++ b/src/quetzallift/app/settings.h
@@ -11,6 +11,8 @@
     HostIdentity host;
     // The platform's "ip:port".
     std::string platform;
+    // Runs plain policies for comparison.
+    bool naive = false;
 };
 
 // Reads a settings file: JSON with comments. Throws Error that names the file, the field's path, its value and what is
--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -2,6 +2,7 @@
 
 #include "quetzallift/app/log.h"
 #include "quetzallift/app/metrics.h"
+#include "quetzallift/app/naive.h"
 #include "quetzallift/edge/addresscodec.h"
 #include "quetzallift/edge/httperror.h"
 #include "quetzallift/edge/querycodec.h"
@@ -33,6 +34,9 @@
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
     };
+    if (settings.naive) {
+        useNaivePolicies(m_loop.state().hooks);
+    }
     m_loop.setEffectHandler([this](const Effect &effect) {
         carryOut(effect);
     });
--- a/src/quetzallift/edge/eventloop.cpp
+++ b/src/quetzallift/edge/eventloop.cpp
@@ -32,8 +32,19 @@
     std::uintptr_t m_lastKey = 0;
 };
 
+namespace
+{
+// A reactor that leaves the signal mask alone: no signal handler runs on these threads, and blocking signals around each
+// event costs two system calls.
+std::unique_ptr<ACE_Dev_Poll_Reactor> makeReactor()
+{
+    constexpr int KeepSignalMask = 0;
+    return std::make_unique<ACE_Dev_Poll_Reactor>(nullptr, nullptr, 0, nullptr, KeepSignalMask);
+}
+}
+
 EventLoop::EventLoop()
-    : m_reactor(std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor, true))
+    : m_reactor(std::make_unique<ACE_Reactor>(makeReactor().release(), true))
     , m_timers(std::make_unique<Timers>())
     , m_mailbox([this](EventBody event) {
         dispatch(std::move(event));
--- a/src/quetzallift/edge/httpclient.cpp
+++ b/src/quetzallift/edge/httpclient.cpp
@@ -4,6 +4,7 @@
 #include "quetzallift/edge/eventloop.h"
 
 #include <ace/Event_Handler.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <unordered_map>
@@ -105,7 +106,8 @@
 }
 }
 
-// Owns curl's multi handle and its sockets in the reactor.
+// Owns curl's multi handle and its sockets in the reactor. A socket stays registered while its connection is kept between
+// requests, which saves system calls on each request; CURLOPT_CLOSESOCKETFUNCTION tells when the registration must end.
 class HttpClient::Engine
 {
 public:
@@ -142,6 +144,8 @@
         transfer->request = std::move(request);
         transfer->completion = std::move(completion);
         configure(*transfer, m_interface);
+        curl_easy_setopt(transfer->easy.get(), CURLOPT_CLOSESOCKETFUNCTION, &Engine::onCloseSocket);
+        curl_easy_setopt(transfer->easy.get(), CURLOPT_CLOSESOCKETDATA, this);
         Transfer &added = *m_transfers.emplace(transfer->id, std::move(transfer)).first->second;
         curl_multi_add_handle(m_multi.get(), added.easy.get());
         return added.id;
@@ -169,6 +173,32 @@
             reference_counting_policy().value(ACE_Event_Handler::Reference_Counting_Policy::ENABLED);
         }
 
+        // Registers for the events that curl waits for, unless the socket is registered for exactly these.
+        void watch(ACE_Reactor_Mask mask)
+        {
+            m_inUse = true;
+            if (m_mask == ACE_Event_Handler::NULL_MASK) {
+                m_engine.m_loop.reactor().register_handler(m_socket, this, mask);
+            } else if (m_mask != mask) {
+                m_engine.m_loop.reactor().mask_ops(m_socket, mask, ACE_Reactor::SET_MASK);
+            }
+            m_mask = mask;
+        }
+
+        // Notes that curl waits for nothing on this socket now.
+        void setIdle()
+        {
+            m_inUse = false;
+        }
+
+        void unregister()
+        {
+            if (m_mask != ACE_Event_Handler::NULL_MASK) {
+                m_mask = ACE_Event_Handler::NULL_MASK;
+                m_engine.m_loop.reactor().remove_handler(m_socket, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+            }
+        }
+
         ACE_HANDLE get_handle() const override
         {
             return m_socket;
@@ -176,19 +206,32 @@
 
         int handle_input(ACE_HANDLE) override
         {
-            m_engine.socketAction(m_socket, CURL_CSELECT_IN);
+            act(CURL_CSELECT_IN);
             return 0;
         }
 
         int handle_output(ACE_HANDLE) override
         {
-            m_engine.socketAction(m_socket, CURL_CSELECT_OUT);
+            act(CURL_CSELECT_OUT);
             return 0;
         }
 
     private:
+        // An idle connection that becomes ready was closed by its peer, which curl finds when it next wants to use it;
+        // until then the event would repeat.
+        void act(int events)
+        {
+            if (m_inUse) {
+                m_engine.socketAction(m_socket, events);
+            } else {
+                unregister();
+            }
+        }
+
         Engine &m_engine;
         curl_socket_t m_socket;
+        ACE_Reactor_Mask m_mask = ACE_Event_Handler::NULL_MASK;
+        bool m_inUse = false;
     };
 
     CurlEasy takeEasy()
@@ -254,17 +297,37 @@
 
     void watch(curl_socket_t socket, int what)
     {
-        ACE_Reactor &reactor = m_loop.reactor();
-        reactor.remove_handler(socket, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        auto found = m_sockets.find(socket);
         if (what == CURL_POLL_REMOVE) {
+            if (found != m_sockets.end()) {
+                found->second->setIdle();
+            }
             return;
         }
+        if (found == m_sockets.end()) {
+            found = m_sockets.emplace(socket, new SocketHandler(*this, socket)).first;
+        }
         ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
         mask |= (what & CURL_POLL_IN) != 0 ? ACE_Event_Handler::READ_MASK : 0;
         mask |= (what & CURL_POLL_OUT) != 0 ? ACE_Event_Handler::WRITE_MASK : 0;
-        auto *handler = new SocketHandler(*this, socket);
-        reactor.register_handler(socket, handler, mask);
-        handler->remove_reference();
+        found->second->watch(mask);
+    }
+
+    static int onCloseSocket(void *context, curl_socket_t socket)
+    {
+        static_cast<Engine *>(context)->forget(socket);
+        return close(socket);
+    }
+
+    void forget(curl_socket_t socket)
+    {
+        const auto found = m_sockets.find(socket);
+        if (found != m_sockets.end()) {
+            SocketHandler *handler = found->second;
+            m_sockets.erase(found);
+            handler->unregister();
+            handler->remove_reference();
+        }
     }
 
     static int onTimer(CURLM *, long timeoutMs, void *context)
@@ -273,20 +336,38 @@
         return 0;
     }
 
-    // Curl has one timer; setting it again, or to a negative time, replaces the earlier one.
+    // Curl has one timer; setting it again, or to a negative time, replaces the earlier one. Curl sets it several times
+    // for each request and mostly to a later time, so that a timer of the loop that is set already serves it again.
     void startTimer(std::chrono::milliseconds wait)
     {
-        const std::uint64_t number = ++m_timer;
-        if (wait.count() < 0) {
-            return;
+        m_timerAt = wait.count() < 0 ? TimePoint::max() : Clock::now() + wait;
+        if (m_timerAt < m_wakeAt) {
+            wakeAt(m_timerAt);
         }
-        m_loop.callAt(Clock::now() + wait, [this, number, alive = m_alive] {
-            if (*alive && number == m_timer) {
-                socketAction(CURL_SOCKET_TIMEOUT, 0);
+    }
+
+    void wakeAt(TimePoint at)
+    {
+        m_wakeAt = at;
+        m_loop.callAt(at, [this, at, alive = m_alive] {
+            if (*alive && at == m_wakeAt) {
+                m_wakeAt = TimePoint::max();
+                wake();
             }
         });
     }
 
+    void wake()
+    {
+        if (m_timerAt <= Clock::now()) {
+            m_timerAt = TimePoint::max();
+            socketAction(CURL_SOCKET_TIMEOUT, 0);
+        }
+        if (m_timerAt < m_wakeAt) {
+            wakeAt(m_timerAt);
+        }
+    }
+
     EventLoop &m_loop;
     // The local address in curl's form.
     std::string m_interface;
@@ -294,7 +375,10 @@
     Transfers m_transfers;
     std::vector<CurlEasy> m_idle;
     std::uint64_t m_lastTransfer = 0;
-    std::uint64_t m_timer = 0;
+    std::unordered_map<curl_socket_t, SocketHandler *> m_sockets;
+    // When curl wants to be called, and when the loop's timer is set to.
+    TimePoint m_timerAt = TimePoint::max();
+    TimePoint m_wakeAt = TimePoint::max();
     // False once the engine is gone, for timers that are still set.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/stand_ins/simulation/simulation.cpp
+++ b/stand_ins/simulation/simulation.cpp
@@ -41,17 +41,34 @@
 
 void Simulation::after(Duration delay, std::function<void()> change)
 {
-    m_agenda.emplace(m_now + delay, std::move(change));
+    add(delay, {std::move(change), false});
+}
+
+void Simulation::add(Duration delay, Entry entry)
+{
+    m_foreground += entry.background ? 0 : 1;
+    m_agenda.emplace(m_now + std::max(delay, Duration::zero()), std::move(entry));
+}
+
+void Simulation::startTimer(const StartTimer &timer)
+{
+    const TimerKind kind = timer.timer.kind;
+    const bool ofQuery = kind == TimerKind::QueryDeadline || kind == TimerKind::LatencyTarget || kind == TimerKind::StragglerCheck;
+    const auto fire = [this, key = timer.timer] {
+        apply(TimerFired{key});
+    };
+    add(timer.at - m_now, {fire, !ofQuery});
 }
 
 void Simulation::run()
 {
-    while (!m_agenda.empty()) {
+    while (m_foreground > 0) {
         const auto next = m_agenda.begin();
         m_now = next->first;
-        const std::function<void()> happen = std::move(next->second);
+        const Entry entry = std::move(next->second);
         m_agenda.erase(next);
-        happen();
+        m_foreground -= entry.background ? 0 : 1;
+        entry.happen();
     }
 }
 
@@ -76,7 +93,7 @@
     } else if (const auto *recorded = std::get_if<SendRecordedAnswer>(&effect)) {
         answers[recorded->query].push_back({m_now, {}, true});
     } else if (const auto *timer = std::get_if<StartTimer>(&effect)) {
-        after(timer->at - m_now, EventBody{TimerFired{timer->timer}});
+        startTimer(*timer);
     } else if (const auto *request = std::get_if<RequestClaim>(&effect)) {
         claim(*request);
     }
--- a/stand_ins/simulation/simulation.h
+++ b/stand_ins/simulation/simulation.h
@@ -41,7 +41,7 @@
     void after(Quetzallift::Duration delay, Quetzallift::EventBody body);
     // Changes the world after some time.
     void after(Quetzallift::Duration delay, std::function<void()> change);
-    // Runs until nothing is left to happen.
+    // Runs until nothing but timers of other parts, some of which repeat for ever, is left to happen.
     void run();
 
     World world;
@@ -60,6 +60,14 @@
     }
 
 private:
+    // Something that will happen; timers of the background do not keep the run going.
+    struct Entry {
+        std::function<void()> happen;
+        bool background = false;
+    };
+
+    void add(Quetzallift::Duration delay, Entry entry);
+    void startTimer(const Quetzallift::StartTimer &timer);
     void apply(Quetzallift::EventBody body);
     void carryOut(const Quetzallift::Effect &effect);
     void send(const Quetzallift::SendSubRequest &effect);
@@ -70,6 +78,7 @@
     std::uint64_t m_generation = 0;
     // An hour after the epoch, so that no instant is mistaken for one that is not set.
     Quetzallift::TimePoint m_now{std::chrono::hours(1)};
-    std::multimap<Quetzallift::TimePoint, std::function<void()>> m_agenda;
+    std::multimap<Quetzallift::TimePoint, Entry> m_agenda;
+    std::size_t m_foreground = 0;
 };
 }
