--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -25,10 +25,6 @@
         file.write("\n")
 
 
-# Entry hosts refuse settings that they do not know; they know no naive mode yet.
-NAIVE_READY = False
-
-
 class Layout:
     """One deployment with its addresses. number (1 to 4) keeps deployments on one machine apart."""
 
@@ -156,7 +152,7 @@
             "platform": {"address": self.platform},
             "approvers": [{"name": "layout-approver", "public_key": self.approver_key()}],
         }
-        if naive and False:
+        if naive:
             settings["experiment"] = {"naive": True}
         return settings
 
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -82,14 +82,24 @@
 
 Settings readSettings(const std::string &file)
 {
-    const nlohmann::json document = parseJson(readFile(file), Step::Settings, file, true);
-    JsonFields fields(document, Step::Settings, file);
+    return decodeSettings(readFile(file), file);
+}
+
+Settings decodeSettings(const std::string &text, const std::string &source)
+{
+    const nlohmann::json document = parseJson(text, Step::Settings, source, true);
+    JsonFields fields(document, Step::Settings, source);
     Settings settings;
     settings.host = decodeHost(fields.object("host"));
     JsonFields platform = fields.object("platform");
     settings.platform = address(platform, "address");
     platform.rejectUnknown();
     settings.approvers = decodeApprovers(fields);
+    if (fields.has("experiment")) {
+        JsonFields experiment = fields.object("experiment");
+        settings.naive = experiment.flag("naive", false);
+        experiment.rejectUnknown();
+    }
     fields.rejectUnknown();
     return settings;
 }
--- a/src/quetzallift/app/settings.h
+++ b/src/quetzallift/app/settings.h
@@ -14,12 +14,17 @@
     std::string platform;
     // Who may approve bundles; never empty.
     Approvers approvers;
+    // Runs plain policies for comparison.
+    bool naive = false;
 };
 
 // Reads a settings file: JSON with comments. Throws Error that names the file, the field's path, its value and what is
 // allowed.
 Settings readSettings(const std::string &file);
 
+// Reads settings from text; the source is named in errors. Throws Error as readSettings() does.
+Settings decodeSettings(const std::string &text, const std::string &source);
+
 // The whole content of a file. Throws Error if it cannot be read.
 std::string readFile(const std::string &file);
 }
--- a/tests/control/burn_test.cpp
+++ b/tests/control/burn_test.cpp
@@ -125,6 +125,8 @@
     cr_assert_eq(answersIn(stored), 8U);
     first.count(100);
     first.sync();
+    cr_assert_eq(answersIn(stored), 8U);
+    first.sync();
     cr_assert(first.state.control.burn.superseded);
     cr_assert_eq(answersIn(stored), 8U);
 }
