--- a/src/quetzallift/edge/internal/peersessioncallbacks.cpp
+++ b/src/quetzallift/edge/internal/peersessioncallbacks.cpp
@@ -60,7 +60,7 @@
     }
     PeerSession::Message &message = found->second;
     const std::size_t count = std::min(length, message.bytes.size() - message.offset);
-    std::memcpy(buffer, message.bytes.data() + message.offset, count);
+    std::copy_n(message.bytes.data() + message.offset, count, buffer);
     message.offset += count;
     if (message.offset == message.bytes.size()) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/quetzallift/edge/peersession.cpp
+++ b/src/quetzallift/edge/peersession.cpp
@@ -27,7 +27,7 @@
 }
 }
 
-PeerSession::PeerSession(ACE_Reactor &theReactor, ACE_SOCK_Stream socket, PeerSide side, std::string peer, std::string self, Hooks hooks)
+PeerSession::PeerSession(ACE_Reactor &theReactor, const ACE_SOCK_Stream &socket, PeerSide side, std::string peer, std::string self, Hooks hooks)
     : ACE_Event_Handler(&theReactor)
     , m_socket(socket)
     , m_side(side)
--- a/src/quetzallift/edge/peersession.h
+++ b/src/quetzallift/edge/peersession.h
@@ -37,7 +37,7 @@
 
     // Takes over the socket, which may still be connecting. The peer is the address that was dialled, or the remote one.
     // The self address is announced to the receiver.
-    PeerSession(ACE_Reactor &reactor, ACE_SOCK_Stream socket, PeerSide side, std::string peer, std::string self, Hooks hooks);
+    PeerSession(ACE_Reactor &reactor, const ACE_SOCK_Stream &socket, PeerSide side, std::string peer, std::string self, Hooks hooks);
     ~PeerSession() override;
     PeerSession(const PeerSession &) = delete;
     PeerSession &operator=(const PeerSession &) = delete;
--- a/src/quetzallift/edge/peerstreams.cpp
+++ b/src/quetzallift/edge/peerstreams.cpp
@@ -153,7 +153,7 @@
             return {};
         }
         prepareSocket(socket);
-        const PeerSessionPtr session(new PeerSession(m_loop.reactor(), socket, PeerSide::Sender, address, m_self, hooks()), false);
+        PeerSessionPtr session(new PeerSession(m_loop.reactor(), socket, PeerSide::Sender, address, m_self, hooks()), false);
         if (!session->open()) {
             reportLater(address);
             return {};
