Keep windows at the host's part of the slots; be ready only with shares

The window fell because the host's own processing raised the latency it measured, not a queue at the searcher. Ruled out by the counters: refusals, ejections, redirects (all 0). Change: latency alone does not lower a window below the thread's part of the searcher's slots, within which all hosts together cannot queue there; /ready waits for connection shares.

--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -9,6 +9,7 @@
 #include "quetzallift/edge/statuscodec.h"
 #include "quetzallift/model/error.h"
 
+#include <algorithm>
 #include <random>
 
 namespace Quetzallift
@@ -21,6 +22,14 @@
 constexpr unsigned StatusMethodNotAllowed = 405;
 constexpr unsigned StatusUnavailable = 503;
 
+// False while no epoch of connection shares lists this host, so that it cannot reach any searcher.
+bool holdsConnections(const ControlSnapshot &control)
+{
+    return std::any_of(control.connectionShares.begin(), control.connectionShares.end(), [](const auto &share) {
+        return share.second > 0;
+    });
+}
+
 // The caller's IP number; its port changes with every connection.
 std::string callerAddress(const HttpExchange &exchange)
 {
@@ -132,7 +141,7 @@
 void TrafficThread::handleReady(const HttpExchangePtr &exchange) const
 {
     const QueryState &state = m_loop.state().query;
-    const bool ready = state.control && !state.stopping;
+    const bool ready = state.control && !state.stopping && holdsConnections(*state.control);
     exchange->respond(ready ? StatusOk : StatusUnavailable, ready ? R"({"ready":true})" : R"({"ready":false})");
 }
 
--- a/src/quetzallift/query/observe.cpp
+++ b/src/quetzallift/query/observe.cpp
@@ -1,6 +1,7 @@
 #include "quetzallift/query/observe.h"
 
 #include "quetzallift/core/reducecontext.h"
+#include "quetzallift/query/connections.h"
 
 #include <algorithm>
 
@@ -29,6 +30,19 @@
     return view.sentTimes.empty() ? Duration::zero() : now - std::max(*view.sentTimes.begin(), view.lastReplyAt);
 }
 
+// The part of the searcher's slots that goes with this thread's part of its connections. Work within the parts of all
+// threads and hosts cannot queue at the searcher, so a raised latency then has another cause, such as a busy entry host.
+double slotsPart(const QueryState &state, const SearcherView &view, TimePoint now)
+{
+    const BackEnd *backEnd = state.control && state.control->bundle ? state.control->bundle->backEnd(view.backEnd) : nullptr;
+    if (backEnd == nullptr || !backEnd->searchers.contains(view.address)) {
+        return 0.0;
+    }
+    const Searcher &searcher = backEnd->searchers.at(view.address);
+    const unsigned connections = connectionPart(state, view.address, now).connections;
+    return static_cast<double>(searcher.slots) * connections / searcher.connectionLimit;
+}
+
 void updateWindow(ReduceContext &context, SearcherView &view, bool shed)
 {
     WindowSample sample;
@@ -39,7 +53,10 @@
     sample.latency = toDuration(view.latency.value);
     sample.baseline = toDuration(view.baseline.value);
     sample.sinceLowered = context.now - view.windowLoweredAt;
-    const Window window = context.state.hooks.searcherWindow(sample);
+    Window window = context.state.hooks.searcherWindow(sample);
+    if (!shed && !window.slowStart) {
+        window.size = std::max(window.size, slotsPart(context.state.query, view, context.now));
+    }
     if (window.size < view.window.size) {
         view.windowLoweredAt = context.now;
     }
