Log answers that miss shards under the caller's request id

Cause: an answer that covers too little could be counted in the report but not found in the log. Change: a partial or failed answer writes one warning with the request, the first missing shard's step, peer and reason, and the generation.

--- a/src/quetzallift/query/finish.cpp
+++ b/src/quetzallift/query/finish.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string>
 
 namespace Quetzallift
 {
@@ -70,6 +71,20 @@
     return mayHaveRun ? Execution::MayHaveRun : Execution::NotRun;
 }
 
+// Logs an answer that does not cover every shard, so that its cause can be followed from the caller's request id.
+void logMissing(ReduceContext &context, const RunningQuery &query, const QueryAnswer &answer)
+{
+    if (answer.missing.empty()) {
+        return;
+    }
+    const MissingShard &first = answer.missing.front();
+    const std::string message = std::string(toString(answer.status)) + " answer of " + query.request.backEnd + " under generation "
+                                + std::to_string(answer.generation.value) + ": " + std::to_string(answer.missing.size()) + " of "
+                                + std::to_string(answer.coverage.shardsTotal) + " shards missing, first shard " + std::to_string(first.shard.value) + ": "
+                                + toString(first.failure.kind);
+    context.emit(WriteLog{{LogLevel::Warning, first.failure.step, first.failure.peer, query.request.requestId, message}});
+}
+
 QueryAnswer makeAnswer(RunningQuery &query)
 {
     QueryAnswer answer;
@@ -141,6 +156,7 @@
     }
     QueryAnswer answer = makeAnswer(query);
     context.emit(CountMetric{Metric::Answers, toString(answer.status)});
+    logMissing(context, query, answer);
     if (!query.claimObject.empty()) {
         context.emit(RecordOutcome{query.claimObject, answer});
     }
--- a/tests/query/gather_test.cpp
+++ b/tests/query/gather_test.cpp
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace Quetzallift;
 
 // Guards against an answer that is called whole although a shard is missing, and against one that is not when all came.
@@ -119,3 +121,17 @@
     cr_assert_lt(fixture.sent.at(0).request.deadline.time_since_epoch().count(),
                  (TimePoint(std::chrono::hours(1)) + SimulationFixture::request(1).deadline).time_since_epoch().count());
 }
+
+// Guards against an incomplete answer whose cause cannot be found in the log by its request id.
+Test(gather, incompleteAnswerIsLoggedWithItsRequest)
+{
+    QueryFixture fixture(1, 1);
+    fixture.arrive(QueryId{1});
+    const SendSubRequest sent = fixture.sent().at(0);
+    fixture.apply(SubRequestFailed{sent.attempt, {Step::Wait, sent.searcher, FailureKind::Timeout, {}}, true});
+    const bool logged = std::any_of(fixture.effects().begin(), fixture.effects().end(), [&sent](const Effect &effect) {
+        const auto *log = std::get_if<WriteLog>(&effect);
+        return log != nullptr && log->record.request == sent.request.requestId && log->record.peer == sent.searcher;
+    });
+    cr_assert(logged);
+}
