--- a/tests/query/connections_test.cpp
+++ b/tests/query/connections_test.cpp
@@ -129,3 +129,24 @@
     cr_assert_eq(view.errors.samples, 0U);
     cr_assert_not(view.draining);
 }
+
+// Guards against two threads that each keep to the whole share of a new epoch while together they exceed it.
+Test(connections, epochIsReportedOnceTheThreadKeepsToItsOwnPart)
+{
+    PoolFixture fixture(1, 1);
+    fixture.state().query.place = {0, 2};
+    fixture.publishShares(8);
+    fixture.arriveMany(1);
+    fixture.warm("s0r0", 4, 100.0);
+    fixture.arriveMany(3);
+    cr_assert_eq(fixture.sentTo("s0r0"), 4U);
+    RefPtr<ControlSnapshot> control(new ControlSnapshot(*fixture.state().query.control));
+    control->connectionShares["s0r0"] = 4;
+    control->sharesEpoch = 7;
+    fixture.apply(ControlSnapshotPublished{control});
+    cr_assert_eq(fixture.count<ReportSharesApplied>(), 0U);
+    fixture.replyOk(fixture.sent().at(0));
+    fixture.replyOk(fixture.sent().at(1));
+    fixture.apply(TimerFired{{TimerKind::SharesCheck, 0}});
+    cr_assert_eq(fixture.count<ReportSharesApplied>(), 1U);
+}
