Name the bundle in force in every log line

Cause: log lines could not be set against the bundle under which they arose. Change: lines carry the digest of the bundle in force once there is one.

--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -47,7 +47,7 @@
     for (const auto &thread : m_traffic) {
         thread->start();
     }
-    writeLog({LogLevel::Info, Step::Join, m_settings.host.address, {}, "serving"}, m_settings.host.name);
+    log({LogLevel::Info, Step::Join, m_settings.host.address, {}, "serving"});
     m_loop.dispatch(Started{});
     m_loop.run();
     for (const auto &thread : m_traffic) {
@@ -56,6 +56,12 @@
     return m_exitCode;
 }
 
+void EntryHost::log(const LogRecord &record) const
+{
+    const BundlePtr &bundle = m_loop.state().control.bundle;
+    writeLog(record, m_settings.host.name, bundle ? bundle->digest : std::string());
+}
+
 void EntryHost::requestStop()
 {
     m_loop.post(StopRequested{});
@@ -66,7 +72,7 @@
     try {
         m_loop.dispatch(PeerMessageArrived{from, decodePeerMessage(bytes, from)});
     } catch (const Error &error) {
-        writeLog({LogLevel::Warning, error.step(), error.peer(), {}, error.what()}, m_settings.host.name);
+        log({LogLevel::Warning, error.step(), error.peer(), {}, error.what()});
     }
 }
 
@@ -97,8 +103,8 @@
         m_exitCode = exit->code;
         m_peers.shutdown();
         m_loop.stop();
-    } else if (const auto *log = std::get_if<WriteLog>(&effect)) {
-        writeLog(log->record, m_settings.host.name);
+    } else if (const auto *line = std::get_if<WriteLog>(&effect)) {
+        log(line->record);
     } else if (const auto *metric = std::get_if<CountMetric>(&effect)) {
         m_metrics.count(*metric);
     }
--- a/src/quetzallift/app/entryhost.h
+++ b/src/quetzallift/app/entryhost.h
@@ -29,6 +29,7 @@
 
 private:
     void carryOut(const Effect &effect);
+    void log(const LogRecord &record) const;
     void receive(const std::string &from, const std::string &bytes);
     void postToTraffic(const EventBody &event);
 
--- a/src/quetzallift/app/log.cpp
+++ b/src/quetzallift/app/log.cpp
@@ -48,7 +48,7 @@
     google::InitGoogleLogging(program);
 }
 
-void writeLog(const LogRecord &record, const std::string &host)
+void writeLog(const LogRecord &record, const std::string &host, const std::string &bundle)
 {
     nlohmann::ordered_json line = {
         {"time", timestamp(std::chrono::system_clock::now())},
@@ -62,6 +62,9 @@
     if (!record.request.empty()) {
         line["request"] = record.request;
     }
+    if (!bundle.empty()) {
+        line["bundle"] = bundle;
+    }
     line["message"] = record.message;
     const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     switch (record.level) {
--- a/src/quetzallift/app/log.h
+++ b/src/quetzallift/app/log.h
@@ -9,6 +9,6 @@
 // Prepares glog to write bare lines to standard error.
 void startLog(const char *program);
 
-// Writes a record as one JSON line. Any thread may call it.
-void writeLog(const LogRecord &record, const std::string &host);
+// Writes a record as one JSON line, with the digest of the bundle in force, which may be empty. Any thread may call it.
+void writeLog(const LogRecord &record, const std::string &host, const std::string &bundle);
 }
--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -168,7 +168,8 @@
     } else if (const auto *applied = std::get_if<ReportSharesApplied>(&effect)) {
         m_postToControl(SharesApplied{m_number, applied->epoch});
     } else if (const auto *log = std::get_if<WriteLog>(&effect)) {
-        writeLog(log->record, m_host);
+        const ControlSnapshotPtr &control = m_loop.state().query.control;
+        writeLog(log->record, m_host, control ? control->bundle->digest : std::string());
     } else if (const auto *metric = std::get_if<CountMetric>(&effect)) {
         m_metrics.count(*metric);
     }
