--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -9,9 +9,9 @@
 
 namespace Quetzallift
 {
-EntryHost::EntryHost(Settings settings)
+EntryHost::EntryHost(Settings settings, HostParts parts)
     : m_settings(std::move(settings))
-    , m_platform(m_loop, m_settings.platform)
+    , m_platform(m_loop, m_settings.platform, parts.platform)
     , m_peers(m_loop,
               m_settings.host.peerAddress,
               {[this](const std::string &from, const std::string &bytes) {
@@ -26,6 +26,10 @@
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
     };
+    if (parts.readRoutes) {
+        m_loop.state().hooks.readRoutes = parts.readRoutes;
+    }
+    m_loop.state().control.discovery.enabled = m_settings.routes.has_value();
     m_loop.state().hooks.wallNow = &std::chrono::system_clock::now;
     m_loop.state().hooks.refusalOf = [this](const RolloutRecord &rollout, const Bundle &bundle) {
         return approvalRefusal(rollout, bundle, m_settings.approvers, &signatureMatches);
@@ -34,7 +38,7 @@
         carryOut(effect);
     });
     for (unsigned number = 0; number < m_settings.host.trafficThreads; ++number) {
-        m_traffic.push_back(std::make_unique<TrafficThread>(number, m_settings, m_metrics, [this](EventBody event) {
+        m_traffic.push_back(parts.makeTraffic(number, m_settings, m_metrics, [this](EventBody event) {
             m_loop.post(std::move(event));
         }));
     }
--- a/src/quetzallift/app/entryhost.h
+++ b/src/quetzallift/app/entryhost.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "quetzallift/app/hostparts.h"
 #include "quetzallift/app/metrics.h"
 #include "quetzallift/app/settings.h"
-#include "quetzallift/app/trafficthread.h"
+#include "quetzallift/app/traffic.h"
 #include "quetzallift/edge/eventloop.h"
 #include "quetzallift/edge/peerstreams.h"
 #include "quetzallift/edge/platformclient.h"
@@ -16,7 +17,7 @@
 class EntryHost
 {
 public:
-    explicit EntryHost(Settings settings);
+    EntryHost(Settings settings, HostParts parts);
     ~EntryHost();
     EntryHost(const EntryHost &) = delete;
     EntryHost &operator=(const EntryHost &) = delete;
@@ -38,7 +39,7 @@
     EventLoop m_loop;
     PlatformClient m_platform;
     PeerStreams m_peers;
-    std::vector<std::unique_ptr<TrafficThread>> m_traffic;
+    std::vector<std::unique_ptr<Traffic>> m_traffic;
     int m_exitCode = 0;
 };
 }
--- a/src/quetzallift/app/log.cpp
+++ b/src/quetzallift/app/log.cpp
@@ -1,5 +1,6 @@
 #include "quetzallift/app/log.h"
 
+#include "quetzallift/app/logoutput.h"
 #include "quetzallift/model/time.h"
 
 #include <glog/logging.h>
@@ -39,16 +40,9 @@
     std::snprintf(fraction.data(), fraction.size(), ".%03dZ", static_cast<int>(millis.count()));
     return std::string(text.data()) + fraction.data();
 }
-}
 
-void startLog(const char *program)
-{
-    FLAGS_logtostderr = true;
-    FLAGS_log_prefix = false;
-    google::InitGoogleLogging(program);
-}
-
-void writeLog(const LogRecord &record, const std::string &host, const std::string &bundle)
+// One JSON object on a line of its own.
+std::string encodeLine(const LogRecord &record, const std::string &host, const std::string &bundle)
 {
     nlohmann::ordered_json line = {
         {"time", timestamp(std::chrono::system_clock::now())},
@@ -66,17 +60,31 @@
         line["bundle"] = bundle;
     }
     line["message"] = record.message;
-    const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    switch (record.level) {
-    case LogLevel::Info:
-        LOG(INFO) << text;
-        break;
-    case LogLevel::Warning:
-        LOG(WARNING) << text;
-        break;
-    case LogLevel::Error:
-        LOG(ERROR) << text;
-        break;
+    for (const LogField &field : record.fields) {
+        line[field.name] = field.value;
+    }
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n';
+}
+}
+
+void startLog(const char *program)
+{
+    FLAGS_logtostderr = true;
+    FLAGS_log_prefix = false;
+    google::InitGoogleLogging(program);
+}
+
+void writeLog(const LogRecord &record, const std::string &host, const std::string &bundle)
+{
+    static LogOutput output;
+    if (!output.admit(record.level)) {
+        return;
+    }
+    if (const std::uint64_t dropped = output.takeDropped()) {
+        LogRecord notice{LogLevel::Warning, Step::Answer, {}, {}, "log lines were dropped", {}};
+        notice.fields = {{"dropped", std::to_string(dropped)}};
+        output.write(encodeLine(notice, host, bundle));
     }
+    output.write(encodeLine(record, host, bundle));
 }
 }
--- a/src/quetzallift/app/serve.cpp
+++ b/src/quetzallift/app/serve.cpp
@@ -1,5 +1,6 @@
 #include "quetzallift/app/commands.h"
 #include "quetzallift/app/entryhost.h"
+#include "quetzallift/app/hostparts.h"
 #include "quetzallift/app/log.h"
 #include "quetzallift/app/options.h"
 #include "quetzallift/model/error.h"
@@ -47,16 +48,20 @@
 {
     char *file = nullptr;
     const poptOption table[] = {
-        {"settings", 's', POPT_ARG_STRING, &file, 0, "Settings file of this entry host", "FILE"},
+        {"settings", 's', POPT_ARG_STRING, &file, 0, "Settings file of this entry host; default: $QUETZALLIFT_CONFIG", "FILE"},
         POPT_AUTOHELP POPT_TABLEEND,
     };
     const Options options(argc, argv, table, "--settings FILE");
     const std::unique_ptr<char, decltype(&std::free)> owned(file, &std::free);
-    if (file == nullptr) {
-        throw Error(Step::Settings, "serve", "--settings FILE is missing");
+    const char *inEnvironment = std::getenv("QUETZALLIFT_CONFIG");
+    const char *settingsFile = file != nullptr ? file : inEnvironment;
+    if (settingsFile == nullptr) {
+        throw Error(Step::Settings, "serve", "--settings FILE and the variable QUETZALLIFT_CONFIG are missing");
     }
     blockSignals();
-    EntryHost host(readSettings(file));
+    Settings settings = readSettings(settingsFile);
+    const HostParts parts = hostPartsFor(settings);
+    EntryHost host(std::move(settings), parts);
     std::thread signals([&host] {
         waitForSignals(host);
     });
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -39,6 +39,10 @@
     host.trafficThreads = static_cast<unsigned>(fields.integer("traffic_threads", 1, MaximumTrafficThreads, 2));
     host.stopLimit = fields.milliseconds("stop_limit_ms", std::chrono::milliseconds(1), std::chrono::hours(1), host.stopLimit);
     host.addressesKeepFor = fields.milliseconds("addresses_keep_ms", Duration::zero(), std::chrono::minutes(10), host.addressesKeepFor);
+    // Peers that have not yet heard of a stop go on naming the host for about two seconds.
+    constexpr Duration AddressesMargin = std::chrono::seconds(2);
+    host.addressesUsedFor =
+        fields.milliseconds("addresses_used_ms", host.addressesKeepFor, std::chrono::minutes(10), host.addressesKeepFor + AddressesMargin);
     host.cell = fields.text("cell", std::string(), MaximumNameLength);
     host.peers = fields.texts("peers");
     fields.rejectUnknown();
@@ -69,6 +73,21 @@
 }
 }
 
+namespace
+{
+RouteSettings decodeRouteSettings(JsonFields fields)
+{
+    RouteSettings routes;
+    routes.directoryAddress = address(fields, "directory_address");
+    routes.readinessAddress = address(fields, "readiness_address");
+    routes.metricsAddress = address(fields, "metrics_address");
+    routes.allowance.ratio = fields.number("retry_ratio", 0.0, 1.0, routes.allowance.ratio);
+    routes.allowance.slack = fields.number("retry_slack", 0.0, 1e6, routes.allowance.slack);
+    fields.rejectUnknown();
+    return routes;
+}
+}
+
 std::string readFile(const std::string &file)
 {
     std::ifstream stream(file, std::ios::binary);
@@ -94,7 +113,11 @@
     JsonFields platform = fields.object("platform");
     settings.platform = address(platform, "address");
     platform.rejectUnknown();
-    settings.approvers = decodeApprovers(fields);
+    if (fields.has("routes")) {
+        settings.routes = decodeRouteSettings(fields.object("routes"));
+    } else {
+        settings.approvers = decodeApprovers(fields);
+    }
     if (fields.has("experiment")) {
         JsonFields experiment = fields.object("experiment");
         settings.naive = experiment.flag("naive", false);
--- a/src/quetzallift/app/settings.h
+++ b/src/quetzallift/app/settings.h
@@ -2,17 +2,30 @@
 
 #include "quetzallift/control/approvalcheck.h"
 #include "quetzallift/control/controlstate.h"
+#include "quetzallift/routing/routingstate.h"
 
+#include <optional>
 #include <string>
 
 namespace Quetzallift
 {
+// What an entry host that passes on requests under a configuration of routes is told besides.
+struct RouteSettings {
+    // Where clients ask which hosts to use, where the platform asks whether this host is ready, and the metrics page.
+    std::string directoryAddress;
+    std::string readinessAddress;
+    std::string metricsAddress;
+    RetryAllowance allowance;
+};
+
 // What an entry host is told at its start.
 struct Settings {
     HostIdentity host;
     // The platform's "ip:port".
     std::string platform;
-    // Who may approve bundles; never empty.
+    // Set if the platform holds a configuration of routes rather than bundles.
+    std::optional<RouteSettings> routes = {};
+    // Who may approve bundles; never empty for a host that runs bundles.
     Approvers approvers;
     // Runs plain policies for comparison.
     bool naive = false;
--- a/src/quetzallift/app/trafficthread.h
+++ b/src/quetzallift/app/trafficthread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quetzallift/app/settings.h"
+#include "quetzallift/app/traffic.h"
 #include "quetzallift/edge/eventloop.h"
 #include "quetzallift/edge/httpserver.h"
 #include "quetzallift/edge/searcherclient.h"
@@ -14,24 +15,15 @@
 class Metrics;
 
 // One thread that serves callers: its event loop, HTTP server and searcher client.
-class TrafficThread
+class TrafficThread : public Traffic
 {
 public:
-    // Gives an event to the control thread.
-    using ControlPost = std::function<void(EventBody)>;
-
     TrafficThread(unsigned number, const Settings &settings, Metrics &metrics, ControlPost postToControl);
-    ~TrafficThread();
-    TrafficThread(const TrafficThread &) = delete;
-    TrafficThread &operator=(const TrafficThread &) = delete;
-
-    void start();
-
-    // Gives an event to this thread. Any thread may call it.
-    void post(EventBody event);
+    ~TrafficThread() override;
 
-    // Ends the loop and waits for the thread.
-    void finish();
+    void start() override;
+    void post(EventBody event) override;
+    void finish() override;
 
 private:
     // A caller that waits for its answer.
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -2,6 +2,7 @@
 
 #include "quetzallift/control/burn.h"
 #include "quetzallift/control/callbudget.h"
+#include "quetzallift/control/discovery/discoverystate.h"
 #include "quetzallift/control/membershipstate.h"
 #include "quetzallift/control/sharesstate.h"
 #include "quetzallift/control/spreadstate.h"
@@ -33,6 +34,8 @@
     Duration stopLimit = std::chrono::seconds(30);
     // How long callers may keep an answer about addresses.
     Duration addressesKeepFor = std::chrono::seconds(10);
+    // How long some callers keep such an answer at most; a host that leaves serves on for that time.
+    Duration addressesUsedFor = std::chrono::seconds(12);
 };
 
 // What the control thread does with the reply of a platform call.
@@ -50,6 +53,10 @@
     ReadOutcome,
     ReadBurn,
     WriteBurn,
+    Configuration,
+    Searchers,
+    RegisterHost,
+    RemoveHost,
 };
 
 // A claim that is being made.
@@ -110,6 +117,7 @@
     bool hostListCalling = false;
     // Tells the timer of the next read from older ones.
     std::uint64_t hostListSerial = 0;
+    DiscoveryState discovery;
     MembershipState fleet;
     SharesState shares;
     SpreadState spread;
--- /dev/null
+++ b/src/quetzallift/control/discovery/configuration.cpp
@@ -0,0 +1,64 @@
+#include "quetzallift/control/discovery/configuration.h"
+
+#include "quetzallift/control/discovery/discovery.h"
+#include "quetzallift/control/discovery/retrypause.h"
+#include "quetzallift/control/platformcalls.h"
+#include "quetzallift/control/publish.h"
+#include "quetzallift/core/reducecontext.h"
+
+namespace Quetzallift
+{
+namespace
+{
+// A connection may fall silent without a reset; a watch that is renewed this often notices within the few seconds in which
+// a configuration must be in force.
+constexpr Duration WatchWait = std::chrono::milliseconds(2500);
+// A single read is answered in milliseconds while the store is well.
+constexpr Duration ReadTimeout = std::chrono::milliseconds(800);
+}
+
+void followConfiguration(ReduceContext &context)
+{
+    const DiscoveryState &discovery = context.state.control.discovery;
+    PlatformRequest request;
+    request.verb = discovery.configurationVersion == 0 ? PlatformVerb::ReadConfiguration : PlatformVerb::WatchConfiguration;
+    request.version = discovery.configurationVersion;
+    request.timeout = discovery.configurationVersion == 0 ? ReadTimeout : WatchWait;
+    callPlatform(context, PlatformPurpose::Configuration, std::move(request));
+}
+
+bool adoptConfiguration(ReduceContext &context, const RouteTablePtr &routes, const std::string &source)
+{
+    DiscoveryState &discovery = context.state.control.discovery;
+    if (!routes || (discovery.routes && routes->version <= discovery.routes->version)) {
+        return false;
+    }
+    const std::string before = discovery.routes ? std::to_string(discovery.routes->version) : "none";
+    discovery.routes = routes;
+    context.emit(CountMetric{Metric::BundlesAdopted, {}});
+    context.emit(WriteLog{{LogLevel::Info,
+                           Step::Adopt,
+                           source,
+                           {},
+                           "configuration in force",
+                           {{"configuration", std::to_string(routes->version)}, {"before", before}, {"routes", std::to_string(routes->routes.size())}}}});
+    publish(context);
+    return true;
+}
+
+void handleConfigurationReply(ReduceContext &context, const PlatformReply &reply)
+{
+    DiscoveryState &discovery = context.state.control.discovery;
+    if (reply.outcome == PlatformOutcome::Applied) {
+        discovery.configurationVersion = reply.version;
+        if (const auto *routes = std::get_if<RouteTablePtr>(&reply.value)) {
+            adoptConfiguration(context, *routes, "store");
+        }
+        followConfiguration(context);
+        return;
+    }
+    // Also after a lost history: only a read tells what is in force now.
+    discovery.configurationVersion = 0;
+    context.emit(StartTimer{{TimerKind::ConfigurationRead, 0}, context.now + retryPause(context)});
+}
+}
--- /dev/null
+++ b/src/quetzallift/control/discovery/retrypause.cpp
@@ -0,0 +1,13 @@
+#include "quetzallift/control/discovery/retrypause.h"
+
+#include "quetzallift/control/platformcalls.h"
+
+namespace Quetzallift
+{
+Duration retryPause(ReduceContext &context)
+{
+    constexpr Duration Least = std::chrono::milliseconds(200);
+    constexpr Duration Spread = std::chrono::milliseconds(600);
+    return Least + jitter(context, Spread);
+}
+}
--- /dev/null
+++ b/src/quetzallift/control/discovery/searchers.cpp
@@ -0,0 +1,222 @@
+#include "quetzallift/control/discovery/searchers.h"
+
+#include "quetzallift/control/discovery/discovery.h"
+#include "quetzallift/control/discovery/retrypause.h"
+#include "quetzallift/control/platformcalls.h"
+#include "quetzallift/control/publish.h"
+#include "quetzallift/core/reducecontext.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Quetzallift
+{
+namespace
+{
+constexpr Duration ListTimeout = std::chrono::milliseconds(800);
+// Heartbeats change entries all the time, so that a watch returns at once; the pause after it bounds the calls, which
+// have a price, and still leaves a leaving searcher without new work in less than 2 s.
+constexpr Duration WatchPause = std::chrono::milliseconds(900);
+constexpr Duration WatchWait = std::chrono::milliseconds(1000);
+// A store that answered nothing for this long may have dropped entries of searchers that live.
+constexpr Duration OutageLength = std::chrono::milliseconds(2800);
+// Searchers that reach the store again are back in it within two seconds of its return.
+constexpr Duration OutageGrace = std::chrono::milliseconds(2300);
+
+DiscoveryState &discoveryOf(ReduceContext &context)
+{
+    return context.state.control.discovery;
+}
+
+void logEntry(ReduceContext &context, const SearcherEntry &entry, const char *what)
+{
+    context.emit(WriteLog{{LogLevel::Info, Step::Watch, entry.id, {}, what, {{"service", entry.service}, {"address", entry.address}}}});
+}
+
+// The known entry stays as it is if only its heartbeat moved.
+bool differs(const SearcherEntry &known, const SearcherEntry &reported)
+{
+    return known.service != reported.service || known.address != reported.address || known.dataCentre != reported.dataCentre
+           || known.slots != reported.slots || known.draining != reported.draining || known.bornAt != reported.bornAt;
+}
+
+SearcherEntry received(const ReduceContext &context, const ReportedSearcher &reported)
+{
+    SearcherEntry entry = reported.entry;
+    entry.coldUntil = context.now + reported.coldFor;
+    return entry;
+}
+
+void put(ReduceContext &context, const SearcherEntry &entry)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    discovery.expiring.erase(entry.id);
+    const auto found = discovery.searchers.find(entry.id);
+    if (found != discovery.searchers.end() && !differs(found->second, entry)) {
+        return;
+    }
+    logEntry(context, entry, entry.draining ? "searcher drains" : "searcher is ready");
+    discovery.searchers[entry.id] = entry;
+}
+
+void removeNow(ReduceContext &context, const std::string &id, const char *why)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    discovery.expiring.erase(id);
+    const auto found = discovery.searchers.find(id);
+    if (found != discovery.searchers.end()) {
+        logEntry(context, found->second, why);
+        discovery.searchers.erase(found);
+    }
+}
+
+// Takes an entry that is gone from the store as a searcher that is gone, at once or after the time in which it may return.
+void vanish(ReduceContext &context, const std::string &id)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    if (context.now >= discovery.outageGraceUntil) {
+        removeNow(context, id, "searcher is gone");
+    } else if (discovery.searchers.contains(id) && discovery.expiring.emplace(id, discovery.outageGraceUntil).second) {
+        context.emit(StartTimer{{TimerKind::SearcherExpiry, 0}, discovery.outageGraceUntil});
+    }
+}
+
+// Notes that the store answered, and whether it had been away.
+void noteAnswered(ReduceContext &context)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    if (discovery.searchersReadAt && context.now - *discovery.searchersReadAt > OutageLength) {
+        discovery.outageGraceUntil = context.now + OutageGrace;
+        const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(context.now - *discovery.searchersReadAt);
+        context.emit(WriteLog{{LogLevel::Warning, Step::Watch, "store", {}, "store answers again", {{"away_ms", std::to_string(away.count())}}}});
+    }
+    discovery.searchersReadAt = context.now;
+    discovery.searcherFailures = 0;
+}
+
+void takeList(ReduceContext &context, const SearcherPage &page, std::uint64_t version)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    if (discovery.listedTo.empty()) {
+        // Changes made while later pages are read are seen again by the watch, and change nothing twice.
+        discovery.listing.clear();
+        discovery.listVersion = version;
+    }
+    for (const ReportedSearcher &reported : page.entries) {
+        discovery.listing[reported.entry.id] = received(context, reported);
+    }
+    if (page.more) {
+        discovery.listedTo = page.lastName;
+        followSearchers(context);
+        return;
+    }
+    discovery.listedTo.clear();
+    discovery.searchersVersion = discovery.listVersion;
+    noteAnswered(context);
+    std::vector<std::string> missing;
+    for (const auto &[id, entry] : discovery.searchers) {
+        if (!discovery.listing.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto &[id, entry] : std::exchange(discovery.listing, {})) {
+        put(context, entry);
+    }
+    for (const std::string &id : missing) {
+        vanish(context, id);
+    }
+    followSearchers(context);
+}
+
+void takeChanges(ReduceContext &context, const SearcherPage &page, std::uint64_t version)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    discovery.searchersVersion = version;
+    noteAnswered(context);
+    // More than half at once is an outage that this host did not notice, not a release.
+    if (page.removed.size() * 2 > discovery.searchers.size()) {
+        discovery.outageGraceUntil = context.now + OutageGrace;
+    }
+    for (const std::string &id : page.removed) {
+        vanish(context, id);
+    }
+    for (const ReportedSearcher &reported : page.entries) {
+        put(context, received(context, reported));
+    }
+    context.emit(StartTimer{{TimerKind::SearchersRead, 0}, context.now + WatchPause});
+}
+}
+
+void followSearchers(ReduceContext &context)
+{
+    const DiscoveryState &discovery = discoveryOf(context);
+    PlatformRequest request;
+    request.verb = discovery.searchersVersion == 0 ? PlatformVerb::ListSearchers : PlatformVerb::WatchSearchers;
+    request.object = discovery.listedTo;
+    request.version = discovery.searchersVersion;
+    request.timeout = discovery.searchersVersion == 0 ? ListTimeout : WatchWait;
+    callPlatform(context, PlatformPurpose::Searchers, std::move(request));
+}
+
+void handleSearchersReply(ReduceContext &context, const PlatformReply &reply)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    const auto *page = std::get_if<SearcherPage>(&reply.value);
+    if (reply.outcome != PlatformOutcome::Applied || page == nullptr) {
+        discovery.listedTo.clear();
+        if (reply.outcome == PlatformOutcome::NotApplied) {
+            discovery.searchersVersion = 0;
+        }
+        if (discovery.searcherFailures++ == 0) {
+            context.emit(WriteLog{{LogLevel::Warning, Step::Watch, "store", {}, "searchers cannot be read", {{"reason", reply.detail}}}});
+        }
+        context.emit(StartTimer{{TimerKind::SearchersRead, 0}, context.now + retryPause(context)});
+        return;
+    }
+    for (const std::string &reason : page->unusable) {
+        context.emit(WriteLog{{LogLevel::Warning, Step::Watch, "store", {}, "entry of a searcher cannot be used", {{"reason", reason}}}});
+    }
+    if (discovery.searchersVersion == 0) {
+        takeList(context, *page, reply.version);
+    } else {
+        takeChanges(context, *page, reply.version);
+    }
+    publishSearchers(context);
+}
+
+void expireSearchers(ReduceContext &context)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    std::vector<std::string> due;
+    for (const auto &[id, at] : discovery.expiring) {
+        if (at <= context.now) {
+            due.push_back(id);
+        }
+    }
+    for (const std::string &id : due) {
+        removeNow(context, id, "searcher did not come back after the outage");
+    }
+    publishSearchers(context);
+}
+
+void publishSearchers(ReduceContext &context)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    const auto same = [](const auto &a, const auto &b) {
+        return a.first == b.first && !differs(a.second, b.second);
+    };
+    const bool unchanged = discovery.published
+                           && std::equal(discovery.published->entries.begin(),
+                                         discovery.published->entries.end(),
+                                         discovery.searchers.begin(),
+                                         discovery.searchers.end(),
+                                         same);
+    if (unchanged) {
+        return;
+    }
+    RefPtr<SearcherTable> table(new SearcherTable);
+    table->entries = discovery.searchers;
+    discovery.published = table;
+    publish(context);
+}
+}
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "quetzallift/control/burn.h"
 #include "quetzallift/control/claims.h"
+#include "quetzallift/control/discovery/discovery.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/hostlist.h"
 #include "quetzallift/control/membership.h"
@@ -39,8 +40,10 @@
     if (fleet.ticks % SyncEvery == 0) {
         syncWithRandomPeer(context);
     }
-    updateWatching(context);
-    followShares(context);
+    if (!context.state.control.discovery.enabled) {
+        updateWatching(context);
+        followShares(context);
+    }
     startPeriod(context);
 }
 
@@ -85,11 +88,15 @@
     ControlState &state = context.state.control;
     state.active = true;
     startMembership(context, context.state.hooks.wallNow());
-    state.watching = isWatcher(state);
-    followRollout(context);
+    if (state.discovery.enabled) {
+        startDiscovery(context);
+    } else {
+        state.watching = isWatcher(state);
+        followRollout(context);
+        readShares(context);
+        startBurn(context);
+    }
     readHostList(context);
-    readShares(context);
-    startBurn(context);
     probeNext(context);
     startPeriod(context);
 }
@@ -136,6 +143,13 @@
     case TimerKind::ProbeFailed:
         handleProbeFailed(context, timer.subject);
         break;
+    case TimerKind::ConfigurationRead:
+    case TimerKind::SearchersRead:
+    case TimerKind::SearcherExpiry:
+    case TimerKind::HostRegistration:
+    case TimerKind::PeerTablesPoll:
+        handleDiscoveryTimer(context, timer.kind);
+        break;
     default:
         handleStopTimer(context, timer.kind);
         break;
--- a/src/quetzallift/control/peers.cpp
+++ b/src/quetzallift/control/peers.cpp
@@ -1,3 +1,4 @@
+#include "quetzallift/control/discovery/discovery.h"
 #include "quetzallift/control/gossip.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/membership.h"
@@ -62,6 +63,14 @@
     {
         handleSyncReply(context, sender, body);
     }
+    void operator()(const TablesRequest &body)
+    {
+        handleTablesRequest(context, sender, body);
+    }
+    void operator()(const TablesReply &body)
+    {
+        handleTablesReply(context, sender, body);
+    }
 };
 
 // Takes over what the sender says of itself, and remembers to correct it if more is known.
--- a/src/quetzallift/control/platformcalls.cpp
+++ b/src/quetzallift/control/platformcalls.cpp
@@ -2,6 +2,7 @@
 
 #include "quetzallift/control/burn.h"
 #include "quetzallift/control/claims.h"
+#include "quetzallift/control/discovery/discovery.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/hostlist.h"
 #include "quetzallift/control/outcomes.h"
@@ -32,7 +33,16 @@
 
 bool isWrite(const PlatformRequest &request)
 {
-    return request.verb == PlatformVerb::Create || request.verb == PlatformVerb::Update;
+    switch (request.verb) {
+    case PlatformVerb::Create:
+    case PlatformVerb::Update:
+    case PlatformVerb::CreateHost:
+    case PlatformVerb::UpdateHost:
+    case PlatformVerb::DeleteHost:
+        return true;
+    default:
+        return false;
+    }
 }
 
 // Keeps since when the platform answers or does not, and publishes a change for the status page.
@@ -85,6 +95,17 @@
     case PlatformPurpose::RecordOutcome:
         handleOutcomeWritten(context, call.claim, reply);
         break;
+    case PlatformPurpose::Configuration:
+        handleConfigurationReply(context, reply);
+        break;
+    case PlatformPurpose::Searchers:
+        handleSearchersReply(context, reply);
+        break;
+    case PlatformPurpose::RegisterHost:
+        handleHostRegistered(context, reply);
+        break;
+    case PlatformPurpose::RemoveHost:
+        break;
     case PlatformPurpose::ReadOutcome:
         handleOutcomeRead(context, call.claim, reply);
         break;
--- a/src/quetzallift/control/publish.cpp
+++ b/src/quetzallift/control/publish.cpp
@@ -14,6 +14,9 @@
 {
     const SharesHost self{state.fleet.self.name, state.fleet.self.incarnation.process};
     snapshot.sharesEpoch = state.shares.record.current.epoch;
+    if (!state.bundle) {
+        return;
+    }
     for (const auto &[name, backEnd] : state.bundle->backEnds) {
         for (const auto &[address, searcher] : backEnd.searchers) {
             // A host that has stopped tells peers that its part is free, and so must not keep idle connections.
@@ -45,12 +48,14 @@
 {
     ControlState &state = context.state.control;
     state.spread.published = state.fleet.version;
-    if (!state.bundle) {
+    if (!state.bundle && !state.discovery.routes) {
         return;
     }
     RefPtr<ControlSnapshot> snapshot(new ControlSnapshot);
     snapshot->generation = state.generation;
     snapshot->bundle = state.bundle;
+    snapshot->routes = state.discovery.routes;
+    snapshot->searchers = state.discovery.published;
     snapshot->adoptedAt = state.adoptedAt;
     snapshot->platformReachable = state.platformFailures == 0;
     snapshot->platformSince = state.platformSince;
--- a/src/quetzallift/control/stop.cpp
+++ b/src/quetzallift/control/stop.cpp
@@ -1,5 +1,6 @@
 #include "quetzallift/control/stop.h"
 
+#include "quetzallift/control/discovery/discovery.h"
 #include "quetzallift/control/gossip.h"
 #include "quetzallift/control/handlers.h"
 #include "quetzallift/control/membership.h"
@@ -12,8 +13,6 @@
 {
 namespace
 {
-// Covers the time in which peers that have not yet heard of the stop go on naming this host.
-constexpr Duration AddressesMargin = std::chrono::seconds(2);
 // The hosts told of the stop at once; all of a small fleet.
 constexpr std::size_t LeaveFanout = 16;
 constexpr Duration CutOffLimit = std::chrono::seconds(1);
@@ -43,6 +42,9 @@
     fleet.self.stopped = true;
     changeSelf(context, MemberStatus::Gone);
     announce(context, LeaveFanout);
+    if (context.state.control.discovery.enabled) {
+        removeHostEntry(context);
+    }
     context.emit(StartTimer{{TimerKind::ExitDelay, 0}, context.now + ExitDelay});
 }
 
@@ -73,7 +75,7 @@
         return;
     }
     state.stop.requested = true;
-    const bool named = state.bundle && state.fleet.self.status == MemberStatus::Live;
+    const bool named = (state.bundle || state.discovery.routes) && state.fleet.self.status == MemberStatus::Live;
     changeSelf(context, MemberStatus::Leaving);
     publish(context);
     announce(context, LeaveFanout);
@@ -84,7 +86,7 @@
         return;
     }
     log(context, LogLevel::Info, "leaving; queries are taken until the last answer that names this host has run out");
-    context.emit(StartTimer{{TimerKind::AddressesExpired, 0}, context.now + state.self.addressesKeepFor + AddressesMargin});
+    context.emit(StartTimer{{TimerKind::AddressesExpired, 0}, context.now + state.self.addressesUsedFor});
 }
 
 void handleAddressesExpired(ReduceContext &context)
--- a/src/quetzallift/core/effect.h
+++ b/src/quetzallift/core/effect.h
@@ -4,6 +4,7 @@
 #include "quetzallift/core/timerkey.h"
 #include "quetzallift/model/logrecord.h"
 #include "quetzallift/query/effects.h"
+#include "quetzallift/routing/effects.h"
 
 #include <variant>
 #include <vector>
@@ -45,6 +46,10 @@
                             CutOffTraffic,
                             ReportSharesApplied,
                             Exit,
+                            ForwardRequest,
+                            CancelForward,
+                            CloseIdleConnections,
+                            AnswerRequest,
                             StartTimer,
                             WriteLog,
                             CountMetric>;
--- a/src/quetzallift/core/event.h
+++ b/src/quetzallift/core/event.h
@@ -2,6 +2,7 @@
 
 #include "quetzallift/control/events.h"
 #include "quetzallift/query/events.h"
+#include "quetzallift/routing/events.h"
 
 #include <variant>
 
@@ -38,6 +39,10 @@
                                CutOffRequested,
                                ServiceReported,
                                StopRequested,
+                               RequestArrived,
+                               RequestAbandoned,
+                               ForwardReplied,
+                               ForwardFailed,
                                TimerFired>;
 
 // Something that happened, and when.
--- a/src/quetzallift/core/hooks.h
+++ b/src/quetzallift/core/hooks.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "quetzallift/model/routetable.h"
 #include "quetzallift/model/time.h"
 #include "quetzallift/query/hedgedelay.h"
 #include "quetzallift/query/querylimit.h"
 #include "quetzallift/query/replicachoice.h"
 #include "quetzallift/query/window.h"
+#include "quetzallift/routing/merge.h"
 
 #include <cstdint>
 #include <functional>
@@ -36,12 +38,20 @@
         return WallTime();
     };
 
+    // Reads the operator's document that a peer passed on; null if it cannot be read.
+    std::function<RouteTablePtr(const std::string &document)> readRoutes = [](const std::string &) {
+        return RouteTablePtr();
+    };
+
     // Says why a bundle must not be adopted; empty if its approval is valid. Hooks without a check accept every bundle;
     // an entry host always sets one.
     std::function<std::string(const RolloutRecord &, const Bundle &)> refusalOf = [](const RolloutRecord &, const Bundle &) {
         return std::string();
     };
 
+    // Makes the body of a scattered request's answer from the bodies of its parts, with at most so many records.
+    std::function<std::string(const std::vector<std::string_view> &parts, std::size_t limit)> mergeParts = greatestRecords;
+
     // How long an attempt may wait before another replica is asked too; empty means that no other replica is asked.
     std::function<std::optional<Duration>(const LatencyEstimate &, const BackEndPolicy &)> hedgeDelay = learnedHedgeDelay;
 };
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -6,6 +6,7 @@
 #include "quetzallift/query/handlers.h"
 #include "quetzallift/query/servicecounting.h"
 #include "quetzallift/query/sharesapplied.h"
+#include "quetzallift/routing/handlers.h"
 
 namespace Quetzallift
 {
@@ -39,8 +40,20 @@
     case TimerKind::CutOffLimit:
     case TimerKind::ExitDelay:
     case TimerKind::BurnWrite:
+    case TimerKind::ConfigurationRead:
+    case TimerKind::SearchersRead:
+    case TimerKind::SearcherExpiry:
+    case TimerKind::HostRegistration:
+    case TimerKind::PeerTablesPoll:
         handleControlTimer(context, event.timer);
         break;
+    case TimerKind::RequestTarget:
+    case TimerKind::RequestLimit:
+    case TimerKind::RequestCheck:
+    case TimerKind::OfferLimit:
+    case TimerKind::OrphanLimit:
+        handleRoutingTimer(context, event.timer);
+        break;
     case TimerKind::SharesCheck:
         reportSharesApplied(context);
         break;
@@ -95,6 +108,7 @@
     void operator()(const ControlSnapshotPublished &event)
     {
         handleControlSnapshot(context, event);
+        followRoutingSnapshot(context);
     }
     void operator()(const ClaimSettled &event)
     {
@@ -136,8 +150,25 @@
     {
         handleSharesApplied(context, event);
     }
+    void operator()(const RequestArrived &event)
+    {
+        handleRequestArrived(context, event);
+    }
+    void operator()(const RequestAbandoned &event)
+    {
+        handleRequestAbandoned(context, event);
+    }
+    void operator()(const ForwardReplied &event)
+    {
+        handleForwardReplied(context, event);
+    }
+    void operator()(const ForwardFailed &event)
+    {
+        handleForwardFailed(context, event);
+    }
     void operator()(const CutOffRequested &)
     {
+        cutOffRequests(context);
         cutOffQueries(context);
     }
     void operator()(const StopRequested &)
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -27,6 +27,16 @@
     CutOffLimit,
     ExitDelay,
     SharesCheck,
+    RequestTarget,
+    RequestLimit,
+    RequestCheck,
+    OfferLimit,
+    OrphanLimit,
+    ConfigurationRead,
+    SearchersRead,
+    SearcherExpiry,
+    HostRegistration,
+    PeerTablesPoll,
 };
 
 // Names a timer. A timer that no longer matters is not cancelled: its handler finds nothing to do.
--- a/src/quetzallift/edge/httpexchange.cpp
+++ b/src/quetzallift/edge/httpexchange.cpp
@@ -16,20 +16,33 @@
     arguments[name] = value != nullptr ? value : "";
     return MHD_YES;
 }
+
+MHD_Result collectHeader(void *context, MHD_ValueKind, const char *name, const char *value)
+{
+    auto &headers = *static_cast<std::vector<Header> *>(context);
+    headers.push_back({name, value != nullptr ? value : ""});
+    return MHD_YES;
+}
 }
 
-HttpExchange::HttpExchange(MHD_Connection *connection, std::string method, std::string path)
+HttpExchange::HttpExchange(MHD_Connection *connection, std::string target)
     : m_connection(connection)
-    , m_method(std::move(method))
-    , m_path(std::move(path))
+    , m_target(std::move(target))
 {
-    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectArgument, &m_arguments);
     const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
     if (info != nullptr) {
         m_peer = formatAddress(*info->client_addr);
     }
 }
 
+void HttpExchange::begin(const char *method, const char *path)
+{
+    m_begun = true;
+    m_method = method;
+    m_path = path;
+    MHD_get_connection_values(m_connection, MHD_GET_ARGUMENT_KIND, &collectArgument, &m_arguments);
+}
+
 const std::string &HttpExchange::method() const
 {
     return m_method;
@@ -40,6 +53,11 @@
     return m_path;
 }
 
+const std::string &HttpExchange::target() const
+{
+    return m_target;
+}
+
 const std::string &HttpExchange::body() const
 {
     return m_body;
@@ -65,7 +83,16 @@
     return value != nullptr ? value : "";
 }
 
-void HttpExchange::respond(unsigned status, std::string body, const std::string &contentType)
+std::vector<Header> HttpExchange::headers() const
+{
+    std::vector<Header> headers;
+    if (m_connection != nullptr) {
+        MHD_get_connection_values(m_connection, MHD_HEADER_KIND, &collectHeader, &headers);
+    }
+    return headers;
+}
+
+void HttpExchange::respondWith(unsigned status, const std::vector<Header> &headers, std::string body)
 {
     if (m_responded || m_connection == nullptr) {
         return;
@@ -73,10 +100,15 @@
     m_responded = true;
     m_status = status;
     m_response = std::move(body);
-    m_headers["Content-Type"] = contentType;
+    m_headers.insert(m_headers.end(), headers.begin(), headers.end());
     resume();
 }
 
+void HttpExchange::respond(unsigned status, std::string body, const std::string &contentType)
+{
+    respondWith(status, {{"Content-Type", contentType}}, std::move(body));
+}
+
 void HttpExchange::drop()
 {
     if (m_responded || m_connection == nullptr) {
@@ -97,7 +129,7 @@
 
 void HttpExchange::addHeader(std::string name, std::string value)
 {
-    m_headers[std::move(name)] = std::move(value);
+    m_headers.push_back({std::move(name), std::move(value)});
 }
 
 void HttpExchange::setClosedHandler(std::function<void()> handler)
--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -19,6 +19,8 @@
 // A query or a bundle part is far smaller.
 constexpr std::size_t MaximumBodySize = 1024U * 1024U;
 constexpr unsigned IdleTimeoutSeconds = 120;
+// Half of the descriptors that a small host has.
+constexpr unsigned MaximumConnections = 2000;
 }
 
 // The callbacks of libmicrohttpd for one server.
@@ -41,8 +43,16 @@
         }
     }
 
+    // Called with the first line; the exchange is what the other callbacks get in their slot.
+    static void *onTarget(void *, const char *target, MHD_Connection *connection)
+    {
+        auto *exchange = new HttpExchange(connection, target);
+        intrusive_ptr_add_ref(exchange);
+        return exchange;
+    }
+
     static MHD_Result onRequest(void *context,
-                                MHD_Connection *connection,
+                                MHD_Connection *,
                                 const char *url,
                                 const char *method,
                                 const char *,
@@ -51,10 +61,8 @@
                                 void **slot)
     {
         auto *exchange = static_cast<HttpExchange *>(*slot);
-        if (exchange == nullptr) {
-            exchange = new HttpExchange(connection, method, url);
-            intrusive_ptr_add_ref(exchange);
-            *slot = exchange;
+        if (!exchange->m_begun) {
+            exchange->begin(method, url);
             return MHD_YES;
         }
         if (*uploadSize > 0) {
@@ -152,8 +160,8 @@
             return MHD_NO;
         }
         MHD_Response *response = MHD_create_response_from_buffer(exchange.m_response.size(), exchange.m_response.data(), MHD_RESPMEM_MUST_COPY);
-        for (const auto &[name, value] : exchange.m_headers) {
-            MHD_add_response_header(response, name.c_str(), value.c_str());
+        for (const Header &header : exchange.m_headers) {
+            MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
         }
         const MHD_Result result = MHD_queue_response(exchange.m_connection, exchange.m_status, response);
         MHD_destroy_response(response);
@@ -196,6 +204,11 @@
                                     1024U,
                                     MHD_OPTION_CONNECTION_TIMEOUT,
                                     IdleTimeoutSeconds,
+                                    MHD_OPTION_CONNECTION_LIMIT,
+                                    MaximumConnections,
+                                    MHD_OPTION_URI_LOG_CALLBACK,
+                                    &HttpServerCallbacks::onTarget,
+                                    &m_callbacks,
                                     MHD_OPTION_NOTIFY_COMPLETED,
                                     &HttpServerCallbacks::onCompleted,
                                     nullptr,
--- a/src/quetzallift/edge/peercodec.cpp
+++ b/src/quetzallift/edge/peercodec.cpp
@@ -97,6 +97,27 @@
         fields["members"] = encode(body.members);
         fields["more"] = body.more;
     }
+    void operator()(const TablesRequest &body) const
+    {
+        fields["kind"] = "tables_request";
+        fields["configuration"] = body.configuration;
+    }
+    void operator()(const TablesReply &body) const
+    {
+        fields["kind"] = "tables_reply";
+        fields["document"] = body.document;
+        fields["age_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(body.age).count();
+        fields["searchers"] = json::array();
+        for (const SearcherEntry &entry : body.searchers) {
+            fields["searchers"].push_back({{"id", entry.id},
+                                           {"service", entry.service},
+                                           {"address", entry.address},
+                                           {"data_centre", entry.dataCentre},
+                                           {"slots", entry.slots},
+                                           {"draining", entry.draining},
+                                           {"born_at", entry.bornAt}});
+        }
+    }
 };
 
 // Reads messages of one peer; every error names that peer.
@@ -193,6 +214,27 @@
         return body;
     }
 
+    TablesReply tablesReply()
+    {
+        constexpr std::uint64_t MaximumSlots = 100000;
+        TablesReply body;
+        body.document = m_fields.text("document", std::string(), MaximumPeerMessage);
+        body.age = m_fields.milliseconds("age_ms", Duration::zero(), std::chrono::hours(24 * 365));
+        for (JsonFields &item : m_fields.objects("searchers")) {
+            SearcherEntry entry;
+            entry.id = item.text("id", MaximumName);
+            entry.service = item.text("service", MaximumName);
+            entry.address = item.text("address", MaximumName);
+            entry.dataCentre = item.text("data_centre", std::string(), MaximumName);
+            entry.slots = static_cast<unsigned>(item.integer("slots", 1, MaximumSlots));
+            entry.draining = item.flag("draining", false);
+            entry.bornAt = item.integer("born_at", 0, UINT64_MAX);
+            item.rejectUnknown();
+            body.searchers.push_back(std::move(entry));
+        }
+        return body;
+    }
+
     IndirectProbe indirectProbe()
     {
         IndirectProbe body;
@@ -233,6 +275,12 @@
         if (kind == "sync_request") {
             return syncRequest();
         }
+        if (kind == "tables_request") {
+            return TablesRequest{m_fields.integer("configuration", 0, UINT64_MAX)};
+        }
+        if (kind == "tables_reply") {
+            return tablesReply();
+        }
         if (kind == "sync_reply") {
             std::vector<MemberUpdate> members = updates("members");
             return SyncReply{std::move(members), m_fields.flag("more", false)};
--- a/src/quetzallift/edge/platformcodec.cpp
+++ b/src/quetzallift/edge/platformcodec.cpp
@@ -17,6 +17,27 @@
     return nlohmann::json::object();
 }
 
+// Values of a metadata store of routes and searchers, which this API does not hold.
+[[noreturn]] void rejectValue(const char *value)
+{
+    throw Error(Step::Prepare, "platform", std::string("the object API of bundles holds no ") + value);
+}
+
+[[noreturn]] nlohmann::json encode(const RouteTablePtr &)
+{
+    rejectValue("routes");
+}
+
+[[noreturn]] nlohmann::json encode(const SearcherPage &)
+{
+    rejectValue("searchers");
+}
+
+[[noreturn]] nlohmann::json encode(const ListedHost &)
+{
+    rejectValue("host entries");
+}
+
 std::uint64_t encodeWallTime(WallTime time)
 {
     return static_cast<std::uint64_t>(std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count());
--- a/src/quetzallift/edge/platformhttp.cpp
+++ b/src/quetzallift/edge/platformhttp.cpp
@@ -64,6 +64,14 @@
     case PlatformVerb::ReadHosts:
         http.url = "http://" + address + "/v1/hosts";
         break;
+    case PlatformVerb::ReadConfiguration:
+    case PlatformVerb::WatchConfiguration:
+    case PlatformVerb::ListSearchers:
+    case PlatformVerb::WatchSearchers:
+    case PlatformVerb::CreateHost:
+    case PlatformVerb::UpdateHost:
+    case PlatformVerb::DeleteHost:
+        throw Error(Step::Watch, address, "an object API of bundles holds no routes and no searchers");
     }
     return http;
 }
--- /dev/null
+++ b/src/quetzallift/edge/responsereader.cpp
@@ -0,0 +1,170 @@
+#include "quetzallift/edge/responsereader.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace Quetzallift
+{
+namespace
+{
+// A part of an answer is a few kilobytes; a peer that sends this much is broken.
+constexpr std::size_t MaximumBody = std::size_t{8} * 1024 * 1024;
+constexpr unsigned FirstFinalStatus = 200;
+
+bool sameName(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+}
+
+std::string_view UpstreamResponse::header(std::string_view name) const
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const Header &header) {
+        return sameName(header.name, name);
+    });
+    return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+ResponseReader::ResponseReader()
+{
+    reset(true);
+}
+
+void ResponseReader::reset(bool expectsBody)
+{
+    http_parser_init(&m_parser, HTTP_RESPONSE);
+    m_parser.data = this;
+    m_response = {};
+    m_expectsBody = expectsBody;
+    m_valueSeen = false;
+    m_complete = false;
+    m_persistent = false;
+    m_surplus = false;
+}
+
+ResponseReader::State ResponseReader::state()
+{
+    if (m_complete) {
+        return State::Complete;
+    }
+    return HTTP_PARSER_ERRNO(&m_parser) == HPE_OK ? State::Reading : State::Broken;
+}
+
+ResponseReader::State ResponseReader::take(std::string_view bytes)
+{
+    static const http_parser_settings Settings = [] {
+        http_parser_settings settings;
+        http_parser_settings_init(&settings);
+        settings.on_header_field = &ResponseReader::onHeaderName;
+        settings.on_header_value = &ResponseReader::onHeaderValue;
+        settings.on_headers_complete = &ResponseReader::onHeadersComplete;
+        settings.on_body = &ResponseReader::onBody;
+        settings.on_message_complete = &ResponseReader::onMessageComplete;
+        return settings;
+    }();
+    const std::size_t taken = http_parser_execute(&m_parser, &Settings, bytes.data(), bytes.size());
+    if (m_complete) {
+        m_surplus = taken < bytes.size();
+    }
+    return state();
+}
+
+ResponseReader::State ResponseReader::takeEnd()
+{
+    const State result = take({});
+    // The end of the stream in the middle of a response is an error that http_parser leaves unset before the first byte.
+    return result == State::Reading ? State::Broken : result;
+}
+
+bool ResponseReader::surplus() const
+{
+    return m_surplus;
+}
+
+bool ResponseReader::persistent() const
+{
+    return m_persistent && !m_surplus;
+}
+
+std::optional<Duration> ResponseReader::keepAlive() const
+{
+    constexpr std::string_view Parameter = "timeout=";
+    const std::string_view value = m_response.header("Keep-Alive");
+    const std::size_t at = value.find(Parameter);
+    unsigned seconds = 0;
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const char *begin = value.data() + at + Parameter.size();
+    if (std::from_chars(begin, value.data() + value.size(), seconds).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+const char *ResponseReader::problem() const
+{
+    return http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
+}
+
+UpstreamResponse ResponseReader::release()
+{
+    return std::move(m_response);
+}
+
+int ResponseReader::onHeaderName(http_parser *parser, const char *data, std::size_t size)
+{
+    auto &self = *static_cast<ResponseReader *>(parser->data);
+    if (self.m_response.headers.empty() || self.m_valueSeen) {
+        self.m_response.headers.emplace_back();
+        self.m_valueSeen = false;
+    }
+    self.m_response.headers.back().name.append(data, size);
+    return 0;
+}
+
+int ResponseReader::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
+{
+    auto &self = *static_cast<ResponseReader *>(parser->data);
+    self.m_valueSeen = true;
+    if (!self.m_response.headers.empty()) {
+        self.m_response.headers.back().value.append(data, size);
+    }
+    return 0;
+}
+
+int ResponseReader::onHeadersComplete(http_parser *parser)
+{
+    const auto &self = *static_cast<ResponseReader *>(parser->data);
+    constexpr int SkipBody = 1;
+    return self.m_expectsBody ? 0 : SkipBody;
+}
+
+int ResponseReader::onBody(http_parser *parser, const char *data, std::size_t size)
+{
+    auto &self = *static_cast<ResponseReader *>(parser->data);
+    if (self.m_response.body.size() + size > MaximumBody) {
+        return 1;
+    }
+    self.m_response.body.append(data, size);
+    return 0;
+}
+
+int ResponseReader::onMessageComplete(http_parser *parser)
+{
+    auto &self = *static_cast<ResponseReader *>(parser->data);
+    if (parser->status_code < FirstFinalStatus) {
+        // An interim response; the final one follows.
+        self.m_response = {};
+        self.m_valueSeen = false;
+        return 0;
+    }
+    self.m_complete = true;
+    self.m_persistent = http_should_keep_alive(parser) != 0;
+    self.m_response.status = parser->status_code;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+}
--- /dev/null
+++ b/src/quetzallift/edge/upstreamconnection.cpp
@@ -0,0 +1,217 @@
+#include "quetzallift/edge/upstreamconnection.h"
+
+#include "quetzallift/edge/socketaddress.h"
+#include "quetzallift/model/error.h"
+
+#include <ace/Reactor.h>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace Quetzallift
+{
+namespace
+{
+// Most responses fit into one read.
+constexpr std::size_t ReadSize = 16384;
+// An idle connection is given up after this part of the time that the peer keeps it, so that no request crosses its close.
+constexpr int IdlePart = 2;
+
+ACE_HANDLE connectTo(const std::string &address)
+{
+    const sockaddr_in peer = parseAddress(address);
+    const int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (handle < 0) {
+        return ACE_INVALID_HANDLE;
+    }
+    const int on = 1;
+    setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (connect(handle, reinterpret_cast<const sockaddr *>(&peer), sizeof(peer)) != 0 && errno != EINPROGRESS) {
+        close(handle);
+        return ACE_INVALID_HANDLE;
+    }
+    return handle;
+}
+}
+
+UpstreamConnection::UpstreamConnection(ACE_Reactor &reactor, std::string searcher, std::string address, Hooks hooks)
+    : m_reactor(reactor)
+    , m_searcher(std::move(searcher))
+    , m_address(std::move(address))
+    , m_hooks(std::move(hooks))
+{ }
+
+UpstreamConnection::~UpstreamConnection()
+{
+    shut();
+}
+
+bool UpstreamConnection::open()
+{
+    try {
+        m_handle = connectTo(m_address);
+    } catch (const Error &) {
+        // An entry may name an address that is none; the caller counts it like one that cannot be reached.
+        m_handle = ACE_INVALID_HANDLE;
+    }
+    if (m_handle == ACE_INVALID_HANDLE) {
+        return false;
+    }
+    m_outputWatched = true;
+    return m_reactor.register_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::WRITE_MASK) == 0;
+}
+
+bool UpstreamConnection::send(AttemptId attempt, std::string request, bool expectsBody)
+{
+    m_attempt = attempt;
+    m_busy = true;
+    m_output = std::move(request);
+    m_written = 0;
+    m_reader.reset(expectsBody);
+    if (m_handle == ACE_INVALID_HANDLE) {
+        return open();
+    }
+    flush();
+    return true;
+}
+
+void UpstreamConnection::shut()
+{
+    if (m_handle != ACE_INVALID_HANDLE) {
+        m_reactor.remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+        close(m_handle);
+        m_handle = ACE_INVALID_HANDLE;
+    }
+}
+
+AttemptId UpstreamConnection::attempt() const
+{
+    return m_attempt;
+}
+
+const std::string &UpstreamConnection::searcher() const
+{
+    return m_searcher;
+}
+
+bool UpstreamConnection::reusable() const
+{
+    return m_connected && !m_busy && m_persistent && Clock::now() < m_usableUntil;
+}
+
+ACE_HANDLE UpstreamConnection::get_handle() const
+{
+    return m_handle;
+}
+
+void UpstreamConnection::watchOutput(bool wanted)
+{
+    if (wanted == m_outputWatched) {
+        return;
+    }
+    m_outputWatched = wanted;
+    const auto operation = wanted ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK;
+    m_reactor.mask_ops(this, ACE_Event_Handler::WRITE_MASK, operation);
+}
+
+void UpstreamConnection::flush()
+{
+    while (m_written < m_output.size()) {
+        const ssize_t size = ::send(m_handle, m_output.data() + m_written, m_output.size() - m_written, MSG_NOSIGNAL);
+        if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
+            watchOutput(true);
+            return;
+        }
+        if (size < 0) {
+            // What the peer sent before it closed is read first: it may be a whole response.
+            watchOutput(false);
+            return;
+        }
+        m_written += static_cast<std::size_t>(size);
+    }
+    watchOutput(false);
+}
+
+int UpstreamConnection::handle_output(ACE_HANDLE)
+{
+    if (!m_connected) {
+        int error = 0;
+        socklen_t size = sizeof(error);
+        getsockopt(m_handle, SOL_SOCKET, SO_ERROR, &error, &size);
+        if (error != 0) {
+            fail(FailureKind::ConnectionRefused, std::strerror(error));
+            return 0;
+        }
+        m_connected = true;
+    }
+    flush();
+    return 0;
+}
+
+int UpstreamConnection::handle_input(ACE_HANDLE)
+{
+    std::array<char, ReadSize> buffer;
+    const ssize_t size = recv(m_handle, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return 0;
+    }
+    if (!m_busy) {
+        m_hooks.closed(*this);
+        return 0;
+    }
+    if (size < 0) {
+        const FailureKind kind = m_connected ? FailureKind::ConnectionReset : FailureKind::ConnectionRefused;
+        fail(kind, std::strerror(errno));
+        return 0;
+    }
+    if (size == 0) {
+        endOfStream();
+        return 0;
+    }
+    switch (m_reader.take({buffer.data(), static_cast<std::size_t>(size)})) {
+    case ResponseReader::State::Reading:
+        break;
+    case ResponseReader::State::Complete:
+        finish();
+        break;
+    case ResponseReader::State::Broken:
+        fail(FailureKind::BadReply, m_reader.problem());
+        break;
+    }
+    return 0;
+}
+
+void UpstreamConnection::endOfStream()
+{
+    m_persistent = false;
+    if (m_reader.takeEnd() == ResponseReader::State::Complete) {
+        finish();
+    } else {
+        fail(FailureKind::ConnectionReset, "the connection closed before the response was complete");
+    }
+}
+
+void UpstreamConnection::finish()
+{
+    m_busy = false;
+    // A peer that answered early still waits for the rest of the request; another one must not take its place.
+    m_persistent = m_persistent && m_reader.persistent() && m_written == m_output.size();
+    if (const auto keepAlive = m_reader.keepAlive()) {
+        m_usableUntil = Clock::now() + *keepAlive / IdlePart;
+    }
+    m_hooks.replied(*this, m_reader.release());
+}
+
+void UpstreamConnection::fail(FailureKind kind, const std::string &detail)
+{
+    m_busy = false;
+    m_persistent = false;
+    m_hooks.failed(*this, Failure{m_connected ? Step::Wait : Step::Connect, m_searcher, kind, detail}, m_written > 0);
+}
+}
--- /dev/null
+++ b/src/quetzallift/model/clientrequest.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "quetzallift/model/refcounted.h"
+#include "quetzallift/model/time.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Quetzallift
+{
+struct Header {
+    std::string name;
+    std::string value;
+};
+
+// A request of a client that is passed on as it is. Immutable once it has arrived.
+struct ClientRequest : RefCounted<ClientRequest> {
+    // The client's id of this attempt; empty if it sent none.
+    std::string id;
+    std::string method;
+    std::string host;
+    // Path and query as sent.
+    std::string target;
+    // Headers that concern the request rather than one connection.
+    std::vector<Header> headers;
+    std::string body;
+    // How long the client waits, if it said so.
+    std::optional<Duration> patience;
+};
+
+using ClientRequestPtr = RefPtr<const ClientRequest>;
+}
--- a/src/quetzallift/model/controlsnapshot.h
+++ b/src/quetzallift/model/controlsnapshot.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "quetzallift/model/bundle.h"
+#include "quetzallift/model/routetable.h"
+#include "quetzallift/model/searchertable.h"
 
 #include <map>
 #include <set>
@@ -20,6 +22,9 @@
 struct ControlSnapshot : RefCounted<ControlSnapshot> {
     Generation generation;
     BundlePtr bundle;
+    // The configuration of routes and the searchers behind them; null without a metadata store that holds them.
+    RouteTablePtr routes;
+    SearcherTablePtr searchers;
     // The entry hosts that callers may use, and the version of this list.
     std::vector<HostAddress> addresses;
     std::uint64_t addressesVersion = 0;
--- a/src/quetzallift/model/logrecord.h
+++ b/src/quetzallift/model/logrecord.h
@@ -3,6 +3,7 @@
 #include "quetzallift/model/step.h"
 
 #include <string>
+#include <vector>
 
 namespace Quetzallift
 {
@@ -12,6 +13,12 @@
     Error,
 };
 
+// An input of a decision, with its name.
+struct LogField {
+    std::string name;
+    std::string value;
+};
+
 // One line of the log. Empty fields are left out of the line.
 struct LogRecord {
     LogLevel level = LogLevel::Info;
@@ -19,5 +26,7 @@
     std::string peer;
     std::string request;
     std::string message;
+    // What decided, with its age or version.
+    std::vector<LogField> fields = {};
 };
 }
--- a/src/quetzallift/model/peermessage.h
+++ b/src/quetzallift/model/peermessage.h
@@ -70,8 +70,32 @@
     bool more = false;
 };
 
-using PeerMessageBody =
-    std::variant<Probe, ProbeReply, IndirectProbe, Announcement, BundleRequest, BundleReply, SharesRequest, SharesReply, SyncRequest, SyncReply>;
+// Asks for the configuration of routes and the searchers, from a host that the metadata store does not answer.
+struct TablesRequest {
+    // The version of the configuration that the sender has.
+    std::uint64_t configuration = 0;
+};
+
+struct TablesReply {
+    // The operator's document; empty if the receiver has that version.
+    std::string document;
+    std::vector<SearcherEntry> searchers;
+    // How long ago the sender last read the searchers from the store.
+    Duration age = Duration::zero();
+};
+
+using PeerMessageBody = std::variant<Probe,
+                                     ProbeReply,
+                                     IndirectProbe,
+                                     Announcement,
+                                     BundleRequest,
+                                     BundleReply,
+                                     SharesRequest,
+                                     SharesReply,
+                                     SyncRequest,
+                                     SyncReply,
+                                     TablesRequest,
+                                     TablesReply>;
 
 // One message between entry hosts.
 struct PeerMessage {
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -4,6 +4,8 @@
 #include "quetzallift/model/bundle.h"
 #include "quetzallift/model/burnrecord.h"
 #include "quetzallift/model/ids.h"
+#include "quetzallift/model/routetable.h"
+#include "quetzallift/model/searchertable.h"
 #include "quetzallift/model/sharesrecord.h"
 #include "quetzallift/model/time.h"
 
@@ -66,8 +68,27 @@
     std::vector<ListedHost> hosts;
 };
 
+// A searcher as its entry in the metadata store shows it.
+struct ReportedSearcher {
+    SearcherEntry entry;
+    // How much longer it is slow after its start.
+    Duration coldFor = Duration::zero();
+};
+
+// A page of the searchers' entries, or what has changed in them.
+struct SearcherPage {
+    std::vector<ReportedSearcher> entries;
+    // Ids whose entries are gone or cannot be used, the latter with the reason in the same place.
+    std::vector<std::string> removed;
+    std::vector<std::string> unusable;
+    // True if the list goes on after the last name.
+    bool more = false;
+    std::string lastName;
+};
+
 // The decoded value of an object; monostate if there is none.
-using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, BurnRecord, SharesRecord, Approval>;
+using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, BurnRecord, SharesRecord, Approval, RouteTablePtr,
+                                   SearcherPage, ListedHost>;
 
 enum class PlatformVerb {
     Read,
@@ -78,13 +99,25 @@
     // Writes only if the object has the version named.
     Update,
     ReadHosts,
+    // The operator's configuration of routes, now or once it has another version.
+    ReadConfiguration,
+    WatchConfiguration,
+    // One page of the searchers' entries after a name, or the changes since a version. A watch whose history is gone is
+    // not applied.
+    ListSearchers,
+    WatchSearchers,
+    // Writes this host's entry in the host list, for the first time or over the version named, or deletes it.
+    CreateHost,
+    UpdateHost,
+    DeleteHost,
 };
 
 // One call to the platform.
 struct PlatformRequest {
     PlatformVerb verb = PlatformVerb::Read;
+    // The object's name; for ListSearchers the name after which the page begins.
     std::string object;
-    // The version expected by Update and Watch.
+    // The version expected by Update, UpdateHost, DeleteHost and the watches.
     std::uint64_t version = 0;
     PlatformValue value;
     Duration timeout = std::chrono::seconds(1);
--- a/src/quetzallift/query/finish.cpp
+++ b/src/quetzallift/query/finish.cpp
@@ -123,7 +123,7 @@
 void reportStopped(ReduceContext &context)
 {
     QueryState &state = context.state.query;
-    if (state.stopping && state.queries.empty() && state.requestedClaims.empty() && !state.stopReported) {
+    if (state.stopping && state.queries.empty() && state.requestedClaims.empty() && context.state.routing.requests.empty() && !state.stopReported) {
         state.stopReported = true;
         context.emit(ReportStopped{});
     }
@@ -188,6 +188,7 @@
 void stopQueries(ReduceContext &context)
 {
     context.state.query.stopping = true;
+    context.state.routing.stopping = true;
     reportStopped(context);
 }
 }
--- a/src/quetzallift/query/tokenbucket.cpp
+++ b/src/quetzallift/query/tokenbucket.cpp
@@ -22,4 +22,11 @@
     m_tokens -= 1.0;
     return true;
 }
+
+void TokenBucket::resize(double burst)
+{
+    const bool full = m_tokens >= m_burst;
+    m_burst = burst;
+    m_tokens = full ? m_burst : std::min(m_tokens, m_burst);
+}
 }
--- a/src/quetzallift/query/tokenbucket.h
+++ b/src/quetzallift/query/tokenbucket.h
@@ -15,6 +15,9 @@
     // Takes one token. Returns false if there is not a whole one.
     bool take();
 
+    // Changes the burst. A bucket that was full stays full.
+    void resize(double burst);
+
 private:
     double m_burst;
     double m_tokens;
--- /dev/null
+++ b/src/quetzallift/routing/events.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "quetzallift/model/clientrequest.h"
+#include "quetzallift/model/failure.h"
+#include "quetzallift/model/forwardreply.h"
+#include "quetzallift/model/ids.h"
+
+namespace Quetzallift
+{
+// A client sent a whole request.
+struct RequestArrived {
+    QueryId request;
+    ClientRequestPtr content;
+};
+
+// The client closed its connection before the answer.
+struct RequestAbandoned {
+    QueryId request;
+};
+
+// A searcher replied to an attempt.
+struct ForwardReplied {
+    AttemptId attempt;
+    ForwardReply reply;
+};
+
+// An attempt ended without a reply.
+struct ForwardFailed {
+    AttemptId attempt;
+    Failure failure;
+    // False only if no byte of the request left this host.
+    bool sent = true;
+};
+}
--- /dev/null
+++ b/src/quetzallift/routing/followsnapshot.cpp
@@ -0,0 +1,91 @@
+#include "quetzallift/core/reducecontext.h"
+#include "quetzallift/routing/dispatch.h"
+#include "quetzallift/routing/handlers.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace Quetzallift
+{
+namespace
+{
+// A tenth of each searcher's connections is left for hosts that join, and for connections of hosts that died, which a
+// searcher notices late.
+constexpr double ConnectionReserve = 0.1;
+// The part of the fleet's slack that this host may spend at once. Hosts that restart begin with a full budget again, so
+// the fleet must stay below its slack even if many do.
+constexpr double SlackPart = 0.6;
+
+SearcherLoadPtr loadOf(const RoutingState &state, const SearcherEntry &entry)
+{
+    const auto found = state.searchers.find(entry.id);
+    // A searcher that starts again under its id, or elsewhere, has nothing in common with the earlier process.
+    const bool same = found != state.searchers.end() && found->second->entry.bornAt == entry.bornAt && found->second->entry.address == entry.address
+                      && found->second->entry.service == entry.service;
+    SearcherLoadPtr load = same ? found->second : SearcherLoadPtr(new SearcherLoad);
+    load->entry = entry;
+    return load;
+}
+
+void followSearchers(ReduceContext &context, const SearcherTable &table)
+{
+    RoutingState &state = context.state.routing;
+    std::map<std::string, SearcherLoadPtr> searchers;
+    for (const auto &[id, entry] : table.entries) {
+        searchers[id] = loadOf(state, entry);
+    }
+    for (const auto &[id, load] : state.searchers) {
+        const auto kept = searchers.find(id);
+        if (kept == searchers.end() || kept->second != load) {
+            load->entry.draining = true;
+            context.emit(CloseIdleConnections{id});
+        }
+    }
+    state.searchers = std::move(searchers);
+    for (auto &[name, service] : state.services) {
+        service.searchers.clear();
+    }
+    for (const auto &[id, load] : state.searchers) {
+        state.services[load->entry.service].searchers.push_back(load);
+    }
+}
+
+void followLimits(RoutingState &state, unsigned hosts)
+{
+    const double divisor = std::max(1U, hosts);
+    for (const auto &[name, policy] : state.routes->services) {
+        ServiceLoad &service = state.services[name];
+        const double part = policy.connectionLimit * (1.0 - ConnectionReserve) / divisor;
+        service.connections = std::max(1U, static_cast<unsigned>(part));
+        service.extras.resize(std::max(1.0, state.allowance.slack * SlackPart / divisor));
+    }
+}
+}
+
+void followRoutingSnapshot(ReduceContext &context)
+{
+    RoutingState &state = context.state.routing;
+    const ControlSnapshotPtr &control = context.state.query.control;
+    if (!control || !control->routes) {
+        return;
+    }
+    state.stopping = state.stopping || control->leaving;
+    const unsigned hosts = static_cast<unsigned>(std::max<std::size_t>(1, control->addresses.size()));
+    const bool limitsChanged = control->routes != state.routes || hosts != state.hosts;
+    const bool searchersChanged = control->searchers && control->searchers != state.table;
+    state.routes = control->routes;
+    state.hosts = hosts;
+    if (searchersChanged) {
+        state.table = control->searchers;
+        followSearchers(context, *state.table);
+    }
+    if (limitsChanged || searchersChanged) {
+        followLimits(state, hosts);
+    }
+    if (searchersChanged) {
+        for (auto &[name, service] : state.services) {
+            serveWaiting(context, service);
+        }
+    }
+}
+}
--- /dev/null
+++ b/src/quetzallift/routing/hostchoice.cpp
@@ -0,0 +1,65 @@
+#include "quetzallift/routing/hostchoice.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <set>
+
+namespace Quetzallift
+{
+namespace
+{
+// The most addresses that clients take from one answer.
+constexpr std::size_t MaximumAddresses = 64;
+// A data centre counts as having searchers of all services if it has those of this part; the rest may be restarting.
+constexpr double NearlyAll = 0.8;
+
+// The data centres in which nearly every service that scattered requests need has a searcher.
+std::set<std::string> completeDataCentres(const ControlSnapshot &control)
+{
+    std::set<std::string> needed;
+    for (const Route &route : control.routes->routes) {
+        needed.insert(route.shards.begin(), route.shards.end());
+    }
+    std::map<std::string, std::set<std::string>> servicesOf;
+    for (const auto &[id, searcher] : control.searchers->entries) {
+        if (!searcher.draining && needed.contains(searcher.service)) {
+            servicesOf[searcher.dataCentre].insert(searcher.service);
+        }
+    }
+    std::set<std::string> complete;
+    for (const auto &[dataCentre, services] : servicesOf) {
+        if (static_cast<double>(services.size()) >= NearlyAll * static_cast<double>(needed.size())) {
+            complete.insert(dataCentre);
+        }
+    }
+    return complete;
+}
+
+std::vector<HostAddress> hostsIn(const ControlSnapshot &control, const std::set<std::string> &dataCentres)
+{
+    std::vector<HostAddress> hosts;
+    std::copy_if(control.addresses.begin(), control.addresses.end(), std::back_inserter(hosts), [&dataCentres](const HostAddress &host) {
+        return dataCentres.contains(host.dataCentre);
+    });
+    return hosts;
+}
+}
+
+std::vector<HostAddress> hostsForClients(const ControlSnapshot &control, const std::string &dataCentre)
+{
+    std::vector<HostAddress> hosts;
+    if (control.routes && control.searchers) {
+        const std::set<std::string> complete = completeDataCentres(control);
+        hosts = hostsIn(control, complete.contains(dataCentre) ? std::set<std::string>{dataCentre} : complete);
+        if (hosts.empty()) {
+            hosts = hostsIn(control, complete);
+        }
+    }
+    if (hosts.empty()) {
+        hosts = control.addresses;
+    }
+    hosts.resize(std::min(hosts.size(), MaximumAddresses));
+    return hosts;
+}
+}
--- /dev/null
+++ b/src/quetzallift/routing/merge.cpp
@@ -0,0 +1,26 @@
+#include "quetzallift/routing/merge.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace Quetzallift
+{
+std::string greatestRecords(const std::vector<std::string_view> &parts, std::size_t limit)
+{
+    std::vector<std::string_view> records;
+    for (const std::string_view part : parts) {
+        for (std::size_t at = 0; at + RecordSize <= part.size(); at += RecordSize) {
+            records.push_back(part.substr(at, RecordSize));
+        }
+    }
+    const std::size_t count = std::min(limit, records.size());
+    // string_view compares bytes as unsigned char.
+    std::partial_sort(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count), records.end(), std::greater<>());
+    std::string merged;
+    merged.reserve(count * RecordSize);
+    for (std::size_t place = 0; place < count; ++place) {
+        merged += records[place];
+    }
+    return merged;
+}
+}
--- /dev/null
+++ b/src/quetzallift/routing/searcherchoice.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "quetzallift/routing/serviceload.h"
+
+#include <string>
+#include <vector>
+
+namespace Quetzallift
+{
+struct ReduceContext;
+
+// The searcher of the service that should get the next attempt, among those that have a connection free, do not leave
+// and are not in the list; null if there is none. Resting searchers are taken only if no other is left.
+SearcherLoadPtr chooseSearcher(ReduceContext &context, const ServiceLoad &service, const std::vector<std::string> &tried);
+
+// True if the service has a searcher that may get work at all, now or once a connection is free.
+bool hasUsableSearcher(const ServiceLoad &service);
+
+// How long an attempt at the searcher may wait before it counts as a straggler.
+Duration stragglerDelay(const ReduceContext &context, const ServiceLoad &service, const SearcherLoad &searcher);
+}
