Reload settings while running; refuse requests once a stop is under way

Cause: SIGHUP ended the process (code 129), and a request taken 4 s after SIGTERM was cut when the process ended. Change: SIGHUP and a changed file read the settings again, the reducer applies what may change; a stopping host closes its listener, answers requests on kept connections with a refusal and closes them.

--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -71,6 +71,12 @@
     m_loop.post(StopRequested{});
 }
 
+void EntryHost::reload(const Settings &settings)
+{
+    m_loop.post(SettingsReloaded{settings.host.reloadable});
+    postToTraffic(SettingsReloaded{settings.host.reloadable});
+}
+
 void EntryHost::receive(const std::string &from, const std::string &bytes)
 {
     try {
--- a/src/quetzallift/app/entryhost.h
+++ b/src/quetzallift/app/entryhost.h
@@ -25,6 +25,9 @@
     // Serves until a graceful stop, or a second stop request, ends it. Returns the exit code of the process.
     int run();
 
+    // Puts settings in force as far as they may change while the process runs. Any thread may call it.
+    void reload(const Settings &settings);
+
     // Asks for a stop. Any thread may call it.
     void requestStop();
 
--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -42,7 +42,7 @@
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
     };
-    m_loop.state().routing.allowance = settings.routes->allowance;
+    m_loop.state().routing.allowance = settings.host.reloadable.allowance;
     m_loop.state().routing.dataCentre = settings.host.dataCentre;
     m_loop.setEffectHandler([this](const Effect &effect) {
         carryOut(effect);
@@ -93,7 +93,7 @@
 bool RoutingThread::isReady() const
 {
     const ControlSnapshotPtr &control = m_loop.state().query.control;
-    return control && control->routes && !control->leaving && !m_loop.state().routing.stopping;
+    return control && control->routes && !control->leaving;
 }
 
 void RoutingThread::handleRequest(const HttpExchangePtr &exchange)
@@ -126,6 +126,8 @@
         m_upstream.cancel(cancel->attempt);
     } else if (const auto *idle = std::get_if<CloseIdleConnections>(&effect)) {
         m_upstream.closeIdle(idle->searcher);
+    } else if (std::holds_alternative<StopListening>(effect)) {
+        m_clients.stopListening();
     } else if (const auto *stopped = std::get_if<ReportStopped>(&effect)) {
         m_postToControl(TrafficStopped{0, stopped->cutOff});
     } else if (const auto *line = std::get_if<WriteLog>(&effect)) {
--- a/src/quetzallift/app/serve.cpp
+++ b/src/quetzallift/app/serve.cpp
@@ -3,9 +3,12 @@
 #include "quetzallift/app/hostparts.h"
 #include "quetzallift/app/log.h"
 #include "quetzallift/app/options.h"
+#include "quetzallift/app/settingsfile.h"
 #include "quetzallift/model/error.h"
 
+#include <cerrno>
 #include <csignal>
+#include <ctime>
 #include <memory>
 #include <pthread.h>
 #include <thread>
@@ -23,22 +26,40 @@
     return signals;
 }
 
-// Turns stop signals into stop requests. SIGUSR1 ends the thread once the host has stopped.
-void waitForSignals(EntryHost &host)
+// All signals that the process takes: SIGHUP reads the settings again, and SIGUSR1 ends the waiting thread.
+sigset_t awaitedSignals()
 {
     sigset_t signals = stopSignals();
+    sigaddset(&signals, SIGHUP);
     sigaddset(&signals, SIGUSR1);
-    int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && signal != SIGUSR1) {
-        host.requestStop();
+    return signals;
+}
+
+// Turns signals into requests to the host, and looks at the settings file now and then, since it may change without one.
+// SIGUSR1 ends the thread once the host has stopped.
+void waitForSignals(EntryHost &host, SettingsFile &file)
+{
+    constexpr timespec FilePeriod{2, 0};
+    const sigset_t signals = awaitedSignals();
+    while (true) {
+        const int signal = sigtimedwait(&signals, nullptr, &FilePeriod);
+        if (signal == SIGUSR1) {
+            return;
+        }
+        if (signal == SIGTERM || signal == SIGINT) {
+            host.requestStop();
+        } else if (signal == SIGHUP || (signal < 0 && errno == EAGAIN)) {
+            if (const auto settings = file.readChanged()) {
+                host.reload(*settings);
+            }
+        }
     }
 }
 
 // Blocks the signals in every thread, so that only the waiting thread receives them.
 void blockSignals()
 {
-    sigset_t signals = stopSignals();
-    sigaddset(&signals, SIGUSR1);
+    const sigset_t signals = awaitedSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -59,11 +80,12 @@
         throw Error(Step::Settings, "serve", "--settings FILE and the variable QUETZALLIFT_CONFIG are missing");
     }
     blockSignals();
-    Settings settings = readSettings(settingsFile);
+    SettingsFile settingsReader(settingsFile);
+    Settings settings = settingsReader.read();
     const HostParts parts = hostPartsFor(settings);
     EntryHost host(std::move(settings), parts);
-    std::thread signals([&host] {
-        waitForSignals(host);
+    std::thread signals([&host, &settingsReader] {
+        waitForSignals(host, settingsReader);
     });
     const int code = host.run();
     pthread_kill(signals.native_handle(), SIGUSR1);
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -37,12 +37,13 @@
     host.dataCentre = fields.text("data_centre", MaximumNameLength);
     host.region = fields.text("region", MaximumNameLength);
     host.trafficThreads = static_cast<unsigned>(fields.integer("traffic_threads", 1, MaximumTrafficThreads, 2));
-    host.stopLimit = fields.milliseconds("stop_limit_ms", std::chrono::milliseconds(1), std::chrono::hours(1), host.stopLimit);
-    host.addressesKeepFor = fields.milliseconds("addresses_keep_ms", Duration::zero(), std::chrono::minutes(10), host.addressesKeepFor);
+    ReloadableSettings &times = host.reloadable;
+    times.stopLimit = fields.milliseconds("stop_limit_ms", std::chrono::milliseconds(1), std::chrono::hours(1), times.stopLimit);
+    times.addressesKeepFor = fields.milliseconds("addresses_keep_ms", Duration::zero(), std::chrono::minutes(10), times.addressesKeepFor);
     // Peers that have not yet heard of a stop go on naming the host for about two seconds.
     constexpr Duration AddressesMargin = std::chrono::seconds(2);
-    host.addressesUsedFor =
-        fields.milliseconds("addresses_used_ms", Duration::zero(), std::chrono::minutes(10), host.addressesKeepFor + AddressesMargin);
+    times.addressesUsedFor =
+        fields.milliseconds("addresses_used_ms", Duration::zero(), std::chrono::minutes(10), times.addressesKeepFor + AddressesMargin);
     host.cell = fields.text("cell", std::string(), MaximumNameLength);
     host.peers = fields.texts("peers");
     fields.rejectUnknown();
@@ -75,14 +76,14 @@
 
 namespace
 {
-RouteSettings decodeRouteSettings(JsonFields fields)
+RouteSettings decodeRouteSettings(JsonFields fields, RetryAllowance &allowance)
 {
     RouteSettings routes;
     routes.directoryAddress = address(fields, "directory_address");
     routes.readinessAddress = address(fields, "readiness_address");
     routes.metricsAddress = address(fields, "metrics_address");
-    routes.allowance.ratio = fields.number("retry_ratio", 0.0, 1.0, routes.allowance.ratio);
-    routes.allowance.slack = fields.number("retry_slack", 0.0, 1e6, routes.allowance.slack);
+    allowance.ratio = fields.number("retry_ratio", 0.0, 1.0, allowance.ratio);
+    allowance.slack = fields.number("retry_slack", 0.0, 1e6, allowance.slack);
     fields.rejectUnknown();
     return routes;
 }
@@ -114,7 +115,7 @@
     settings.platform = address(platform, "address");
     platform.rejectUnknown();
     if (fields.has("routes")) {
-        settings.routes = decodeRouteSettings(fields.object("routes"));
+        settings.routes = decodeRouteSettings(fields.object("routes"), settings.host.reloadable.allowance);
     } else {
         settings.approvers = decodeApprovers(fields);
     }
--- a/src/quetzallift/app/settings.h
+++ b/src/quetzallift/app/settings.h
@@ -2,7 +2,6 @@
 
 #include "quetzallift/control/approvalcheck.h"
 #include "quetzallift/control/controlstate.h"
-#include "quetzallift/routing/routingstate.h"
 
 #include <optional>
 #include <string>
@@ -15,7 +14,6 @@
     std::string directoryAddress;
     std::string readinessAddress;
     std::string metricsAddress;
-    RetryAllowance allowance;
 };
 
 // What an entry host is told at its start.
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -9,6 +9,7 @@
 #include "quetzallift/control/stopstate.h"
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/platform.h"
+#include "quetzallift/model/reloadablesettings.h"
 
 #include <optional>
 #include <set>
@@ -30,12 +31,7 @@
     // Peer addresses to ask while no other host is known, for instance because the platform is down.
     std::vector<std::string> peers;
     unsigned trafficThreads = 1;
-    // The longest time a graceful stop may take.
-    Duration stopLimit = std::chrono::seconds(30);
-    // How long callers may keep an answer about addresses.
-    Duration addressesKeepFor = std::chrono::seconds(10);
-    // How long a host that leaves serves on for callers that have not heard of it.
-    Duration addressesUsedFor = std::chrono::seconds(12);
+    ReloadableSettings reloadable;
 };
 
 // What the control thread does with the reply of a platform call.
--- a/src/quetzallift/control/handlers.h
+++ b/src/quetzallift/control/handlers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quetzallift/control/events.h"
+#include "quetzallift/model/reloadablesettings.h"
 
 namespace Quetzallift
 {
@@ -36,6 +37,9 @@
 // Repeats work that was put off.
 void handleControlTimer(ReduceContext &context, const TimerKey &timer);
 
+// Takes settings over that changed while the process runs.
+void applySettings(ReduceContext &context, const ReloadableSettings &settings);
+
 // Begins a graceful stop; a second request cuts off the queries that still run.
 void stopControl(ReduceContext &context);
 }
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -101,6 +101,12 @@
     startPeriod(context);
 }
 
+void applySettings(ReduceContext &context, const ReloadableSettings &settings)
+{
+    context.state.control.self.reloadable = settings;
+    publish(context);
+}
+
 void finishControlEvent(ReduceContext &context)
 {
     publishChanges(context);
--- a/src/quetzallift/control/publish.cpp
+++ b/src/quetzallift/control/publish.cpp
@@ -62,7 +62,7 @@
     snapshot->leaving = state.stop.requested;
     snapshot->addresses = usableAddresses(state);
     snapshot->addressesVersion = addressesVersion(snapshot->addresses);
-    snapshot->addressesKeepFor = state.self.addressesKeepFor;
+    snapshot->addressesKeepFor = state.self.reloadable.addressesKeepFor;
     snapshot->leavingSearchers = leavingSearchers(state);
     addShares(state, *snapshot);
     context.emit(PublishControlSnapshot{snapshot});
--- a/src/quetzallift/control/stop.cpp
+++ b/src/quetzallift/control/stop.cpp
@@ -79,14 +79,14 @@
     changeSelf(context, MemberStatus::Leaving);
     publish(context);
     announce(context, LeaveFanout);
-    context.emit(StartTimer{{TimerKind::StopLimit, 0}, context.now + state.self.stopLimit});
+    context.emit(StartTimer{{TimerKind::StopLimit, 0}, context.now + state.self.reloadable.stopLimit});
     if (!named) {
         // No caller was ever told to use this host.
         context.emit(StopTraffic{});
         return;
     }
     log(context, LogLevel::Info, "leaving; queries are taken until the last answer that names this host has run out");
-    context.emit(StartTimer{{TimerKind::AddressesExpired, 0}, context.now + state.self.addressesUsedFor});
+    context.emit(StartTimer{{TimerKind::AddressesExpired, 0}, context.now + state.self.reloadable.addressesUsedFor});
 }
 
 void handleAddressesExpired(ReduceContext &context)
--- a/src/quetzallift/core/event.h
+++ b/src/quetzallift/core/event.h
@@ -43,6 +43,7 @@
                                RequestAbandoned,
                                ForwardReplied,
                                ForwardFailed,
+                               SettingsReloaded,
                                TimerFired>;
 
 // Something that happened, and when.
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -76,10 +76,20 @@
     if (context.state.control.active) {
         stopControl(context);
     } else {
+        stopRequests(context);
         stopQueries(context);
     }
 }
 
+void handleReload(ReduceContext &context, const SettingsReloaded &event)
+{
+    if (context.state.control.active) {
+        applySettings(context, event.settings);
+    } else {
+        followAllowance(context, event.settings.allowance);
+    }
+}
+
 // Calls the handler of each kind of event.
 struct Dispatcher {
     ReduceContext &context;
@@ -166,6 +176,10 @@
     {
         handleForwardFailed(context, event);
     }
+    void operator()(const SettingsReloaded &event)
+    {
+        handleReload(context, event);
+    }
     void operator()(const CutOffRequested &)
     {
         cutOffRequests(context);
--- a/src/quetzallift/query/finish.cpp
+++ b/src/quetzallift/query/finish.cpp
@@ -188,7 +188,6 @@
 void stopQueries(ReduceContext &context)
 {
     context.state.query.stopping = true;
-    context.state.routing.stopping = true;
     reportStopped(context);
 }
 }
--- a/src/quetzallift/routing/accept.cpp
+++ b/src/quetzallift/routing/accept.cpp
@@ -109,6 +109,10 @@
 {
     RoutingState &state = context.state.routing;
     const ClientRequest &content = *event.content;
+    if (state.stopping) {
+        answerAtOnce(context, event.request, content, nullptr, refusal(Duration::zero(), "this host is leaving"));
+        return;
+    }
     if (!state.routes) {
         answerAtOnce(context, event.request, content, nullptr, refusal(RetryAfterMissing, "no configuration is known yet"));
         return;
@@ -181,6 +185,13 @@
     }
 }
 
+void stopRequests(ReduceContext &context)
+{
+    context.state.routing.leaving = true;
+    context.state.routing.stopping = true;
+    context.emit(StopListening{});
+}
+
 void cutOffRequests(ReduceContext &context)
 {
     RoutingState &state = context.state.routing;
--- a/src/quetzallift/routing/effects.h
+++ b/src/quetzallift/routing/effects.h
@@ -30,6 +30,10 @@
     std::string searcher;
 };
 
+// Accepts no more connections of clients; those that are open are served on.
+struct StopListening {
+};
+
 // Answers the client.
 struct AnswerRequest {
     QueryId request;
--- a/src/quetzallift/routing/events.h
+++ b/src/quetzallift/routing/events.h
@@ -4,6 +4,7 @@
 #include "quetzallift/model/failure.h"
 #include "quetzallift/model/forwardreply.h"
 #include "quetzallift/model/ids.h"
+#include "quetzallift/model/reloadablesettings.h"
 
 namespace Quetzallift
 {
@@ -13,6 +14,11 @@
     ClientRequestPtr content;
 };
 
+// The settings that take effect at once have changed. Both kinds of threads get it.
+struct SettingsReloaded {
+    ReloadableSettings settings;
+};
+
 // The client closed its connection before the answer.
 struct RequestAbandoned {
     QueryId request;
--- a/src/quetzallift/routing/finishing.cpp
+++ b/src/quetzallift/routing/finishing.cpp
@@ -73,7 +73,7 @@
 
 void finish(ReduceContext &context, RunningRequest &request, ClientAnswer answer)
 {
-    answer.closeConnection = context.state.routing.stopping;
+    answer.closeConnection = context.state.routing.leaving;
     logAnswer(context, request, answer);
     context.emit(CountMetric{Metric::Answers, toString(answer.kind)});
     context.emit(AnswerRequest{request.id, std::move(answer)});
@@ -189,7 +189,7 @@
 
 void answerAtOnce(ReduceContext &context, QueryId id, const ClientRequest &content, const Route *route, ClientAnswer answer)
 {
-    answer.closeConnection = context.state.routing.stopping;
+    answer.closeConnection = context.state.routing.leaving;
     const RouteTablePtr &routes = context.state.routing.routes;
     context.emit(CountMetric{Metric::Answers, toString(answer.kind)});
     context.emit(WriteLog{{LogLevel::Warning,
--- a/src/quetzallift/routing/followsnapshot.cpp
+++ b/src/quetzallift/routing/followsnapshot.cpp
@@ -62,6 +62,15 @@
 }
 }
 
+void followAllowance(ReduceContext &context, const RetryAllowance &allowance)
+{
+    RoutingState &state = context.state.routing;
+    state.allowance = allowance;
+    if (state.routes) {
+        followLimits(state, state.hosts);
+    }
+}
+
 void followRoutingSnapshot(ReduceContext &context)
 {
     RoutingState &state = context.state.routing;
@@ -69,7 +78,7 @@
     if (!control || !control->routes) {
         return;
     }
-    state.stopping = state.stopping || control->leaving;
+    state.leaving = state.leaving || control->leaving;
     const unsigned hosts = static_cast<unsigned>(std::max<std::size_t>(1, control->addresses.size()));
     const bool limitsChanged = control->routes != state.routes || hosts != state.hosts;
     const bool searchersChanged = control->searchers && control->searchers != state.table;
--- a/src/quetzallift/routing/handlers.h
+++ b/src/quetzallift/routing/handlers.h
@@ -25,6 +25,12 @@
 // Routes a timer of a request or of an attempt.
 void handleRoutingTimer(ReduceContext &context, const TimerKey &timer);
 
+// Takes no more requests; those that run are finished.
+void stopRequests(ReduceContext &context);
+
+// Follows another allowance of extra requests.
+void followAllowance(ReduceContext &context, const RetryAllowance &allowance);
+
 // Answers every running request at once, before the process ends.
 void cutOffRequests(ReduceContext &context);
 }
--- a/src/quetzallift/routing/routingstate.h
+++ b/src/quetzallift/routing/routingstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quetzallift/model/controlsnapshot.h"
+#include "quetzallift/model/reloadablesettings.h"
 #include "quetzallift/routing/runningrequest.h"
 #include "quetzallift/routing/serviceload.h"
 
@@ -10,14 +11,6 @@
 
 namespace Quetzallift
 {
-// What the deployment allows this fleet to send beyond the first request to a searcher.
-struct RetryAllowance {
-    // Extra requests as a share of first ones, over all hosts.
-    double ratio = 0.2;
-    // Extra requests in a window on top of that, over all hosts.
-    double slack = 50.0;
-};
-
 // The part of a traffic thread's state that is about requests passed on to searchers.
 struct RoutingState {
     RetryAllowance allowance;
@@ -31,6 +24,9 @@
     RouteTablePtr routes;
     unsigned hosts = 0;
     std::uint64_t lastAttempt = 0;
+    // True once this host leaves: connections are closed after their next answer. True for `stopping` once it takes no more
+    // requests.
+    bool leaving = false;
     bool stopping = false;
 };
 }
