--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -9,7 +9,7 @@
 
 namespace Quetzallift
 {
-EntryHost::EntryHost(Settings settings, HostParts parts)
+EntryHost::EntryHost(Settings settings, const HostParts &parts)
     : m_settings(std::move(settings))
     , m_platform(m_loop, m_settings.platform, parts.platform)
     , m_peers(m_loop,
--- a/src/quetzallift/app/entryhost.h
+++ b/src/quetzallift/app/entryhost.h
@@ -17,7 +17,7 @@
 class EntryHost
 {
 public:
-    EntryHost(Settings settings, HostParts parts);
+    EntryHost(Settings settings, const HostParts &parts);
     ~EntryHost();
     EntryHost(const EntryHost &) = delete;
     EntryHost &operator=(const EntryHost &) = delete;
--- a/src/quetzallift/app/logoutput.cpp
+++ b/src/quetzallift/app/logoutput.cpp
@@ -20,7 +20,8 @@
     , m_routineLines(RoutineLinesPerSecond * BurstSeconds)
     , m_refilledAt(Clock::now())
 {
-    struct stat status {};
+    struct stat status {
+    };
     // A terminal is shared with other programs, which expect it to block; only the reader of a pipe can hold up this one.
     if (fstat(STDOUT_FILENO, &status) == 0 && (S_ISFIFO(status.st_mode) || S_ISSOCK(status.st_mode))) {
         fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
--- a/src/quetzallift/control/discovery/searchers.cpp
+++ b/src/quetzallift/control/discovery/searchers.cpp
@@ -30,14 +30,15 @@
 
 void logEntry(ReduceContext &context, const SearcherEntry &entry, const char *what)
 {
-    context.emit(WriteLog{{LogLevel::Info, Step::Watch, entry.id, {}, what, {{"service", entry.service}, {"address", entry.address}, {"data_centre", entry.dataCentre}}}});
+    context.emit(WriteLog{
+        {LogLevel::Info, Step::Watch, entry.id, {}, what, {{"service", entry.service}, {"address", entry.address}, {"data_centre", entry.dataCentre}}}});
 }
 
 // The known entry stays as it is if only its heartbeat moved.
 bool differs(const SearcherEntry &known, const SearcherEntry &reported)
 {
-    return known.service != reported.service || known.address != reported.address || known.dataCentre != reported.dataCentre
-           || known.slots != reported.slots || known.draining != reported.draining || known.bornAt != reported.bornAt;
+    return known.service != reported.service || known.address != reported.address || known.dataCentre != reported.dataCentre || known.slots != reported.slots
+           || known.draining != reported.draining || known.bornAt != reported.bornAt;
 }
 
 SearcherEntry received(const ReduceContext &context, const ReportedSearcher &reported)
@@ -205,12 +206,9 @@
     const auto same = [](const auto &a, const auto &b) {
         return a.first == b.first && !differs(a.second, b.second);
     };
-    const bool unchanged = discovery.published
-                           && std::equal(discovery.published->entries.begin(),
-                                         discovery.published->entries.end(),
-                                         discovery.searchers.begin(),
-                                         discovery.searchers.end(),
-                                         same);
+    const bool unchanged =
+        discovery.published
+        && std::equal(discovery.published->entries.begin(), discovery.published->entries.end(), discovery.searchers.begin(), discovery.searchers.end(), same);
     if (unchanged) {
         return;
     }
--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -51,14 +51,8 @@
         return exchange;
     }
 
-    static MHD_Result onRequest(void *context,
-                                MHD_Connection *,
-                                const char *url,
-                                const char *method,
-                                const char *,
-                                const char *uploadData,
-                                std::size_t *uploadSize,
-                                void **slot)
+    static MHD_Result
+    onRequest(void *context, MHD_Connection *, const char *url, const char *method, const char *, const char *uploadData, std::size_t *uploadSize, void **slot)
     {
         auto *exchange = static_cast<HttpExchange *>(*slot);
         if (!exchange->m_begun) {
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -87,8 +87,8 @@
 };
 
 // The decoded value of an object; monostate if there is none.
-using PlatformValue = std::variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, BurnRecord, SharesRecord, Approval, RouteTablePtr,
-                                   SearcherPage, ListedHost>;
+using PlatformValue = std::
+    variant<std::monostate, RolloutRecord, BundlePtr, ClaimRecord, HostListRecord, BurnRecord, SharesRecord, Approval, RouteTablePtr, SearcherPage, ListedHost>;
 
 enum class PlatformVerb {
     Read,
--- a/src/quetzallift/query/tokenbucket.h
+++ b/src/quetzallift/query/tokenbucket.h
@@ -12,8 +12,8 @@
     // Pays in a share of first sub-requests; what exceeds the burst is lost.
     void deposit(double tokens);
 
-    // Takes one token. Returns false if there is not a whole one.
-    bool take();
+    // Takes one token. Returns false if there is not a whole one beyond those that must stay.
+    bool take(double kept = 0.0);
 
     // Changes the burst. A bucket that was full stays full.
     void resize(double burst);
--- a/src/quetzallift/routing/dispatch.cpp
+++ b/src/quetzallift/routing/dispatch.cpp
@@ -39,6 +39,24 @@
     scheduleStragglerCheck(context, request, index, context.now + stragglerDelay(context, state.services[part.service], *searcher));
 }
 
+const char *toString(ResendCause cause)
+{
+    switch (cause) {
+    case ResendCause::Overdue:
+        return "overdue";
+    case ResendCause::Failed:
+        return "failed";
+    case ResendCause::NotSent:
+        break;
+    }
+    return "not sent";
+}
+
+bool payFor(ServiceLoad &service, ResendCause cause)
+{
+    return cause == ResendCause::NotSent || service.extras.take(cause == ResendCause::Overdue ? service.keptForRetries : 0.0);
+}
+
 bool mayRunAgain(const RunningRequest &request, const PartProgress &part)
 {
     const bool repeatable = request.route->idempotent || part.runs == 0;
@@ -60,15 +78,17 @@
     context.emit(CountMetric{Metric::QueuedSubRequests, part.service});
 }
 
-bool sendAgain(ReduceContext &context, RunningRequest &request, std::size_t index, const char *cause)
+bool sendAgain(ReduceContext &context, RunningRequest &request, std::size_t index, ResendCause cause)
 {
     PartProgress &part = request.parts[index];
     if (!mayRunAgain(request, part)) {
+        part.notResent = "no attempt left";
         return false;
     }
     ServiceLoad &service = context.state.routing.services[part.service];
     const SearcherLoadPtr searcher = chooseSearcher(context, service, part.tried);
-    if (!searcher || !service.extras.take()) {
+    if (!searcher || !payFor(service, cause)) {
+        part.notResent = searcher ? "no budget" : "no other searcher";
         return false;
     }
     ++request.extras;
@@ -79,7 +99,7 @@
                            searcher->entry.id,
                            request.content->id,
                            "sent once more",
-                           {{"cause", cause}, {"service", part.service}, {"after_searcher", first}, {"sends", std::to_string(part.sends + 1)}}}});
+                           {{"cause", toString(cause)}, {"service", part.service}, {"after_searcher", first}, {"sends", std::to_string(part.sends + 1)}}}});
     send(context, request, index, searcher);
     return true;
 }
--- a/src/quetzallift/routing/dispatch.h
+++ b/src/quetzallift/routing/dispatch.h
@@ -11,9 +11,19 @@
 // Sends a part to a searcher, or puts it in the queue of its service until one may take it.
 void startPart(ReduceContext &context, RunningRequest &request, std::size_t part);
 
+// Why a part is sent once more.
+enum class ResendCause {
+    // Its attempt takes longer than others do.
+    Overdue,
+    // Its attempt failed, or the searcher did not run it.
+    Failed,
+    // Its attempt never left this host, so that another one is no extra request.
+    NotSent,
+};
+
 // Sends a part once more, to a searcher that it was not sent to yet, if the budget of extra requests allows. Returns false
-// if nothing was sent.
-bool sendAgain(ReduceContext &context, RunningRequest &request, std::size_t part, const char *cause);
+// if nothing was sent; the part then says why.
+bool sendAgain(ReduceContext &context, RunningRequest &request, std::size_t part, ResendCause cause);
 
 // Ends the bookkeeping of an attempt and lets parts that wait for its service use its connection.
 ForwardAttempt takeAttempt(ReduceContext &context, AttemptId attempt);
--- a/src/quetzallift/routing/finishing.cpp
+++ b/src/quetzallift/routing/finishing.cpp
@@ -34,7 +34,7 @@
         ++named;
         text += (text.empty() ? "" : "; ") + part.service + ": ";
         if (part.lastFailure) {
-            text += part.lastFailure->peer + " " + toString(part.lastFailure->kind);
+            text += part.lastFailure->peer + " " + toString(part.lastFailure->kind) + ", " + part.notResent;
         } else if (part.sends == 0) {
             text += "no searcher took it";
         } else {
--- a/src/quetzallift/routing/replies.cpp
+++ b/src/quetzallift/routing/replies.cpp
@@ -29,7 +29,7 @@
 }
 
 // Tries a part elsewhere after a failed attempt, or gives it up if no other attempt of it is on its way.
-void tryElsewhere(ReduceContext &context, RunningRequest &request, std::size_t index, Failure failure, const char *cause)
+void tryElsewhere(ReduceContext &context, RunningRequest &request, std::size_t index, Failure failure, ResendCause cause)
 {
     PartProgress &part = request.parts[index];
     context.emit(CountMetric{Metric::SubRequestFailures, toString(failure.kind)});
@@ -94,7 +94,7 @@
             }
             const FailureKind kind = ran ? FailureKind::BadReply : FailureKind::Shed;
             Failure failure{Step::Wait, attempt.searcher->entry.id, kind, "status " + std::to_string(event.reply.status)};
-            tryElsewhere(context, *request, attempt.part, std::move(failure), ran ? "failure status" : "not executed");
+            tryElsewhere(context, *request, attempt.part, std::move(failure), ResendCause::Failed);
         }
     }
     serveWaiting(context, state.services[service]);
@@ -112,7 +112,7 @@
     if (request != nullptr) {
         request->mayHaveRun = request->mayHaveRun || event.sent;
         request->parts[attempt.part].runs -= event.sent ? 0 : 1;
-        tryElsewhere(context, *request, attempt.part, event.failure, toString(event.failure.kind));
+        tryElsewhere(context, *request, attempt.part, event.failure, event.sent ? ResendCause::Failed : ResendCause::NotSent);
     }
     serveWaiting(context, state.services[attempt.searcher->entry.service]);
 }
--- a/src/quetzallift/routing/runningrequest.h
+++ b/src/quetzallift/routing/runningrequest.h
@@ -25,6 +25,8 @@
     bool queued = false;
     std::optional<ForwardReply> reply;
     std::optional<Failure> lastFailure;
+    // Why it was not sent once more, if it should have been.
+    const char *notResent = "";
 
     bool covered() const
     {
--- a/src/quetzallift/routing/serviceload.h
+++ b/src/quetzallift/routing/serviceload.h
@@ -22,6 +22,8 @@
     unsigned connections = 1;
     LatencyAverage latency;
     TokenBucket extras{0.0};
+    // Tokens that hedges leave for retries: a request that failed is lost without one, a slow one is only late.
+    double keptForRetries = 0.0;
     std::deque<WaitingPart> waiting;
 };
 }
--- a/src/quetzallift/routing/straggling.cpp
+++ b/src/quetzallift/routing/straggling.cpp
@@ -52,7 +52,7 @@
         const TimePoint overdueAt = attempt.sentAt + stragglerDelay(context, state.services[part.service], *attempt.searcher);
         if (context.now < overdueAt) {
             next = std::min(next, overdueAt);
-        } else if (!sendAgain(context, request, index, "overdue")) {
+        } else if (!sendAgain(context, request, index, ResendCause::Overdue)) {
             next = std::min(next, context.now + RecheckPause);
         }
     }
--- /dev/null
+++ b/tests/control/discovery_test.cpp
@@ -0,0 +1,218 @@
+#include "quetzallift/core/event.h"
+#include "quetzallift/core/reduce.h"
+#include "quetzallift/core/state.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+using namespace Quetzallift;
+
+namespace
+{
+// A control thread that follows the metadata store, driven by hand.
+struct DiscoveryFixture {
+    State state;
+    TimePoint now = TimePoint(std::chrono::hours(1));
+    std::vector<CallPlatform> calls;
+    std::vector<StartTimer> timers;
+    ControlSnapshotPtr published;
+    std::vector<SendPeerMessage> messages;
+
+    DiscoveryFixture()
+    {
+        state.control.self.name = "host";
+        state.control.self.address = "10.0.0.1:80";
+        state.control.self.peerAddress = "10.0.0.1:81";
+        state.control.discovery.enabled = true;
+        state.hooks.readRoutes = [](const std::string &document) {
+            return routes(std::stoull(document));
+        };
+        apply(Started{});
+    }
+
+    static RouteTablePtr routes(std::uint64_t version)
+    {
+        RefPtr<RouteTable> table(new RouteTable);
+        table->version = version;
+        table->document = std::to_string(version);
+        return table;
+    }
+
+    static SearcherPage page(const std::vector<std::string> &ids)
+    {
+        SearcherPage page;
+        for (const std::string &id : ids) {
+            page.entries.push_back({{id, "s", "10.0.0.2:80", "a", 2, false, {}, 1}, Duration::zero()});
+        }
+        return page;
+    }
+
+    void apply(EventBody event)
+    {
+        for (const Effect &effect : reduce(state, Event{now, std::move(event)})) {
+            if (const auto *call = std::get_if<CallPlatform>(&effect)) {
+                calls.push_back(*call);
+            } else if (const auto *timer = std::get_if<StartTimer>(&effect)) {
+                timers.push_back(*timer);
+            } else if (const auto *snapshot = std::get_if<PublishControlSnapshot>(&effect)) {
+                published = snapshot->snapshot;
+            } else if (const auto *message = std::get_if<SendPeerMessage>(&effect)) {
+                messages.push_back(*message);
+            }
+        }
+    }
+
+    // Answers the newest call with that verb.
+    void answer(PlatformVerb verb, PlatformOutcome outcome, std::uint64_t version, PlatformValue value = {})
+    {
+        for (auto call = calls.rbegin(); call != calls.rend(); ++call) {
+            if (call->request.verb == verb) {
+                const PlatformCallId id = call->call;
+                calls.erase(std::next(call).base());
+                apply(PlatformReplied{id, {outcome, version, std::move(value), {}}});
+                return;
+            }
+        }
+        cr_assert_fail("no such call");
+    }
+
+    // Fires the newest timer of a kind at its time.
+    void fire(TimerKind kind)
+    {
+        for (auto timer = timers.rbegin(); timer != timers.rend(); ++timer) {
+            if (timer->timer.kind == kind) {
+                now = std::max(now, timer->at);
+                apply(TimerFired{timer->timer});
+                return;
+            }
+        }
+        cr_assert_fail("no such timer");
+    }
+
+    void start(const std::vector<std::string> &ids)
+    {
+        answer(PlatformVerb::ReadConfiguration, PlatformOutcome::Applied, 4, routes(3));
+        answer(PlatformVerb::ListSearchers, PlatformOutcome::Applied, 5, page(ids));
+    }
+
+    bool knows(const std::string &id) const
+    {
+        return published && published->searchers && published->searchers->entries.contains(id);
+    }
+};
+}
+
+// Guards against traffic under no configuration, and against a host that forgets to watch for the next one.
+Test(discovery, publishesWhatItReads)
+{
+    DiscoveryFixture fixture;
+    cr_assert(!fixture.published);
+    fixture.start({"x"});
+    cr_assert_eq(fixture.published->routes->version, 3U);
+    cr_assert(fixture.knows("x"));
+    fixture.answer(PlatformVerb::WatchConfiguration, PlatformOutcome::Applied, 9, DiscoveryFixture::routes(8));
+    cr_assert_eq(fixture.published->routes->version, 8U);
+}
+
+// Guards against a configuration that reverts, from the store or from a peer that is behind.
+Test(discovery, configurationNeverReverts)
+{
+    DiscoveryFixture fixture;
+    fixture.start({});
+    fixture.answer(PlatformVerb::WatchConfiguration, PlatformOutcome::Applied, 9, DiscoveryFixture::routes(2));
+    cr_assert_eq(fixture.published->routes->version, 3U);
+    PeerMessage message;
+    message.sender.self = {"peer", {1, 0}, MemberStatus::Live, false, "10.0.0.3:80", "10.0.0.3:81", "a", {}};
+    message.body = TablesReply{"1", {}, std::chrono::hours(2)};
+    fixture.apply(PeerMessageArrived{"10.0.0.3:81", message});
+    cr_assert_eq(fixture.published->routes->version, 3U);
+    cr_assert_eq(fixture.state.control.discovery.routes->version, 3U);
+}
+
+// Guards against searchers of later pages that are lost.
+Test(discovery, listsAllPages)
+{
+    DiscoveryFixture fixture;
+    fixture.answer(PlatformVerb::ReadConfiguration, PlatformOutcome::Applied, 4, DiscoveryFixture::routes(3));
+    SearcherPage first = DiscoveryFixture::page({"x"});
+    first.more = true;
+    first.lastName = "x";
+    fixture.answer(PlatformVerb::ListSearchers, PlatformOutcome::Applied, 5, first);
+    cr_assert_eq(fixture.calls.back().request.object, "x");
+    fixture.answer(PlatformVerb::ListSearchers, PlatformOutcome::Applied, 8, DiscoveryFixture::page({"y"}));
+    cr_assert(fixture.knows("x") && fixture.knows("y"));
+    // Changes between the pages must be seen again.
+    cr_assert_eq(fixture.calls.back().request.version, 5U);
+}
+
+// Guards against new work for a searcher whose entry is gone while the store is well.
+Test(discovery, removedEntryIsGoneAtOnce)
+{
+    DiscoveryFixture fixture;
+    fixture.start({"x", "y", "z"});
+    SearcherPage changes;
+    changes.removed = {"x"};
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 6, changes);
+    cr_assert(!fixture.knows("x") && fixture.knows("y"));
+}
+
+// Guards against searchers that are dropped because their entries lapsed while the store was away, and against ones that
+// are kept although they did not come back.
+Test(discovery, lapsedEntriesHaveTimeToReturn)
+{
+    DiscoveryFixture fixture;
+    fixture.start({"x", "y", "z"});
+    fixture.now += std::chrono::seconds(6);
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Unknown, 0);
+    fixture.fire(TimerKind::SearchersRead);
+    SearcherPage changes;
+    changes.removed = {"x", "y"};
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 6, changes);
+    cr_assert(fixture.knows("x") && fixture.knows("y"));
+    fixture.fire(TimerKind::SearchersRead);
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 7, DiscoveryFixture::page({"x"}));
+    fixture.fire(TimerKind::SearcherExpiry);
+    cr_assert(fixture.knows("x") && !fixture.knows("y"));
+}
+
+// Guards against a host that watches a history which the store no longer has.
+Test(discovery, lostHistoryIsListedAgain)
+{
+    DiscoveryFixture fixture;
+    fixture.start({"x"});
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::NotApplied, 0);
+    fixture.fire(TimerKind::SearchersRead);
+    fixture.answer(PlatformVerb::ListSearchers, PlatformOutcome::Applied, 40, DiscoveryFixture::page({"y"}));
+    cr_assert(!fixture.knows("x") && fixture.knows("y"));
+}
+
+// Guards against a host that stays without routes because it started while the store is away.
+Test(discovery, learnsFromAPeerWhileTheStoreIsAway)
+{
+    DiscoveryFixture fixture;
+    PeerMessage hello;
+    hello.sender.self = {"peer", {1, 0}, MemberStatus::Live, false, "10.0.0.3:80", "10.0.0.3:81", "a", {}};
+    hello.body = Announcement{};
+    fixture.apply(PeerMessageArrived{"10.0.0.3:81", hello});
+    fixture.messages.clear();
+    fixture.fire(TimerKind::PeerTablesPoll);
+    cr_assert(std::holds_alternative<TablesRequest>(fixture.messages.at(0).message.body));
+    PeerMessage reply = hello;
+    reply.body = TablesReply{"7", {{"x", "s", "10.0.0.2:80", "a", 2, false, {}, 1}}, std::chrono::seconds(1)};
+    fixture.apply(PeerMessageArrived{"10.0.0.3:81", reply});
+    cr_assert_eq(fixture.published->routes->version, 7U);
+    cr_assert(fixture.knows("x"));
+}
+
+// Guards against an entry in the host list that an earlier process left and that is never replaced.
+Test(discovery, replacesItsOldHostEntry)
+{
+    DiscoveryFixture fixture;
+    fixture.answer(PlatformVerb::CreateHost, PlatformOutcome::NotApplied, 5);
+    fixture.fire(TimerKind::HostRegistration);
+    cr_assert_eq(fixture.calls.back().request.version, 5U);
+    fixture.answer(PlatformVerb::UpdateHost, PlatformOutcome::Applied, 6);
+    cr_assert_eq(fixture.state.control.discovery.hostEntryVersion, 6U);
+}
--- /dev/null
+++ b/tests/edge/upstreamclient_test.cpp
@@ -0,0 +1,150 @@
+#include "quetzallift/edge/eventloop.h"
+#include "quetzallift/edge/upstreamclient.h"
+
+#include <criterion/criterion.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace Quetzallift;
+
+namespace
+{
+// A peer that answers the first request of its connection and closes at the second one without a byte, and counts what it
+// reads. It ends when the listening socket is shut down.
+class ClosingPeer
+{
+public:
+    ClosingPeer()
+        : m_listen(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        bind(m_listen, reinterpret_cast<sockaddr *>(&address), size);
+        listen(m_listen, 8);
+        getsockname(m_listen, reinterpret_cast<sockaddr *>(&address), &size);
+        m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        m_thread = std::thread([this] {
+            serve();
+        });
+    }
+
+    ~ClosingPeer()
+    {
+        stop();
+        close(m_listen);
+    }
+
+    ClosingPeer(const ClosingPeer &) = delete;
+    ClosingPeer &operator=(const ClosingPeer &) = delete;
+
+    void stop()
+    {
+        if (m_thread.joinable()) {
+            shutdown(m_listen, SHUT_RDWR);
+            m_thread.join();
+        }
+    }
+
+    const std::string &address() const
+    {
+        return m_address;
+    }
+
+    // After stop() only.
+    int requests() const
+    {
+        return m_requests;
+    }
+
+private:
+    void serve()
+    {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        int connection = 0;
+        while ((connection = accept(m_listen, nullptr, nullptr)) >= 0) {
+            char buffer[1024];
+            for (int number = 0; recv(connection, buffer, sizeof(buffer), 0) > 0; ++number) {
+                ++m_requests;
+                if (number > 0) {
+                    break;
+                }
+                ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+            }
+            close(connection);
+        }
+    }
+
+    int m_listen;
+    int m_requests = 0;
+    std::string m_address;
+    std::thread m_thread;
+};
+}
+
+// Guards against a request that runs twice because the library below resends it when a reused connection closes: seen with
+// libcurl, two calls and three runs.
+Test(upstreamclient, neverSendsARequestTwice, .timeout = 30)
+{
+    ClosingPeer peer;
+    EventLoop loop;
+    std::vector<std::string> ends;
+    UpstreamClient *client = nullptr;
+    UpstreamClient::Hooks hooks;
+    const auto request = [&peer](std::uint64_t attempt) {
+        return UpstreamClient::Request{AttemptId{attempt}, "s", peer.address(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", true};
+    };
+    hooks.belongs = [](AttemptId, const UpstreamResponse &) {
+        return true;
+    };
+    hooks.opened = [](const std::string &) {
+    };
+    hooks.replied = [&](AttemptId, const UpstreamResponse &) {
+        ends.emplace_back("replied");
+        client->send(request(2));
+    };
+    hooks.failed = [&](AttemptId, const Failure &, bool sent) {
+        ends.emplace_back(sent ? "failed after sending" : "failed");
+        loop.stop();
+    };
+    {
+        UpstreamClient owned(loop, hooks);
+        client = &owned;
+        client->send(request(1));
+        loop.run();
+    }
+    peer.stop();
+    cr_assert(ends == (std::vector<std::string>{"replied", "failed after sending"}));
+    cr_assert_eq(peer.requests(), 2);
+}
+
+// Guards against a connection that nobody listens for being taken as a request that may have run.
+Test(upstreamclient, refusedConnectionSentNothing, .timeout = 30)
+{
+    std::string address;
+    {
+        const ClosingPeer peer;
+        address = peer.address();
+    }
+    EventLoop loop;
+    bool sentAnything = true;
+    UpstreamClient::Hooks hooks;
+    hooks.opened = [](const std::string &) {
+    };
+    hooks.failed = [&](AttemptId, const Failure &failure, bool sent) {
+        sentAnything = sent;
+        cr_assert(failure.kind == FailureKind::ConnectionRefused);
+        loop.stop();
+    };
+    UpstreamClient client(loop, hooks);
+    client.send({AttemptId{1}, "s", address, "GET / HTTP/1.1\r\n\r\n", true});
+    loop.run();
+    cr_assert_not(sentAnything);
+}
--- /dev/null
+++ b/tests/platform/clientprotocol_test.cpp
@@ -0,0 +1,68 @@
+#include "platform/clientprotocol.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace Quetzallift;
+
+namespace
+{
+UpstreamResponse response(unsigned status, std::vector<Header> headers)
+{
+    return {status, std::move(headers), "body"};
+}
+
+ForwardReply read(unsigned status, std::vector<Header> headers)
+{
+    return Platform::clientProtocol().readReply(response(status, std::move(headers)));
+}
+}
+
+// Guards against a reply that passes for a success although its bytes are not the searcher's.
+Test(clientprotocol, repliesAreToldApart)
+{
+    cr_assert(read(200, {{"Server-Stamp", "x"}}).kind == ForwardReplyKind::Success);
+    cr_assert(read(200, {}).kind == ForwardReplyKind::Failure);
+    cr_assert(read(200, {{"Server-Stamp", "x"}, {"Content-Encoding", "gzip"}}).kind == ForwardReplyKind::Failure);
+    cr_assert(read(500, {{"Server-Stamp", "x"}}).kind == ForwardReplyKind::Failure);
+    cr_assert(read(503, {{"not-executed", "1"}}).kind == ForwardReplyKind::NotExecuted);
+    cr_assert(read(421, {}).kind == ForwardReplyKind::WrongInstance);
+}
+
+// Guards against headers of one connection that reach the client's connection.
+Test(clientprotocol, connectionHeadersStayBehind)
+{
+    const ForwardReply reply = read(200, {{"Server-Stamp", "x"}, {"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"Keep-Alive", "timeout=5"}, {"X-End", "2"}});
+    cr_assert_eq(reply.headers.size(), 2U);
+    cr_assert(reply.headers.at(1).name == "X-End");
+}
+
+// Guards against an answer to an earlier request that is taken for this one's.
+Test(clientprotocol, lateAnswersBelongToNoOtherRequest)
+{
+    ClientRequest request;
+    request.id = "r1";
+    cr_assert(Platform::clientProtocol().belongs(request, response(200, {{"Request-Id", "r1"}})));
+    cr_assert_not(Platform::clientProtocol().belongs(request, response(200, {{"request-id", "r0"}})));
+}
+
+// Guards against a request that reaches another searcher's process, or a searcher that works beyond the client's time.
+Test(clientprotocol, forwardNamesSearcherAndTimeLeft)
+{
+    RefPtr<ClientRequest> content(new ClientRequest);
+    content->id = "r1";
+    content->method = "POST";
+    content->host = "h";
+    content->target = "/a%2F/?q=1";
+    content->body = "xy";
+    content->headers = {{"X-End", "2"}};
+    ForwardRequest forward;
+    forward.searcher = "i-1";
+    forward.timeLeft = std::chrono::microseconds(150900);
+    forward.content = content;
+    const std::string text = Platform::clientProtocol().writeForward(forward);
+    cr_assert_str_eq(text.c_str(),
+                     "POST /a%2F/?q=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 150\r\nExpect-Instance: i-1\r\nX-End: "
+                     "2\r\nContent-Length: 2\r\n\r\nxy");
+}
--- /dev/null
+++ b/tests/platform/storecodec_test.cpp
@@ -0,0 +1,118 @@
+#include "platform/routesdecoder.h"
+#include "platform/storecodec.h"
+#include "quetzallift/model/error.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace Quetzallift;
+
+namespace
+{
+HttpResult responded(long status, const std::string &body)
+{
+    HttpResult result;
+    result.outcome = HttpOutcome::Responded;
+    result.status = status;
+    result.body = body;
+    return result;
+}
+
+PlatformReply decode(PlatformVerb verb, const HttpResult &result)
+{
+    PlatformRequest request;
+    request.verb = verb;
+    return Platform::storeCodec().decode(request, result);
+}
+
+const std::string Ready = R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":2,"state":"ready","cold-remaining-ms":1500,"born":17})";
+
+std::string object(const std::string &name, const std::string &spec)
+{
+    return R"({"meta":{"name":")" + name + R"(","revision":5,"deleting":false},"spec":)" + spec + "}";
+}
+}
+
+// Guards against a route that loses one of its limits on the way into the product.
+Test(storecodec, routesKeepEveryField)
+{
+    const RouteTablePtr table = Platform::decodeRoutes(
+        R"({"version":7,"routes":[
+            {"name":"r1","hostname":"h","path-prefix":"/a/","route-type":"idempotent","timeout-ms":800,"target-latency-ms":100,
+             "priority":2,"fan-out":["s0","s1"],"max-attempts":2,"top-k":5,"min-shard-ratio":0.75,"new-field":1},
+            {"name":"r2","hostname":"h","path-prefix":"/b/","route-type":"non_idempotent","timeout-ms":900,
+             "traffic-split":[{"service":"x","weight":3},{"service":"y","weight":1}]}],
+            "services":[{"name":"s0","connection-limit":26}]})",
+        "test");
+    cr_assert_eq(table->version, 7U);
+    const Route &scattered = *table->match("H:80", "/a/x");
+    cr_assert(scattered.idempotent && scattered.scattered());
+    cr_assert_eq(scattered.recordLimit, 5U);
+    cr_assert(scattered.minimumCoverage == 0.75 && scattered.maxAttempts == 2 && scattered.priority == 2);
+    cr_assert(scattered.timeout == std::chrono::milliseconds(800) && scattered.targetLatency == std::chrono::milliseconds(100));
+    const Route &split = *table->match("h", "/b/");
+    cr_assert(!split.idempotent && split.split.size() == 2 && split.split[0].weight == 3.0);
+    cr_assert_eq(table->services.at("s0").connectionLimit, 26U);
+}
+
+// Guards against a request of an unknown kind that is repeated.
+Test(storecodec, unknownKindsRunOnce)
+{
+    const RouteTablePtr table =
+        Platform::decodeRoutes(R"({"version":1,"routes":[{"name":"r","hostname":"h","path-prefix":"/","timeout-ms":1,"service":"s"}]})", "test");
+    cr_assert(!table->routes.at(0).idempotent);
+}
+
+// Guards against a broken document that stops the control thread, or that is half adopted.
+Test(storecodec, brokenRoutesNameTheField)
+{
+    try {
+        Platform::decodeRoutes(R"({"version":1,"routes":[{"name":"r","hostname":"h","path-prefix":"/","timeout-ms":"soon","service":"s"}]})", "store");
+        cr_assert_fail("a time-out that is no number was accepted");
+    } catch (const Error &error) {
+        cr_assert(std::string(error.what()).find("routes[0].timeout-ms") != std::string::npos);
+    }
+}
+
+// Guards against one unreadable entry that hides the searchers beside it.
+Test(storecodec, unusableEntriesLeaveTheOthers)
+{
+    const std::string items = object("i-1", Ready) + "," + object("i-2", R"({"service":"s"})") + "," + object("i-3", R"("bytes")");
+    const PlatformReply reply = decode(PlatformVerb::ListSearchers, responded(200, R"({"items":[)" + items + R"(],"has-more":false,"as-of":9})"));
+    const auto &page = std::get<SearcherPage>(reply.value);
+    cr_assert(reply.outcome == PlatformOutcome::Applied && reply.version == 9);
+    cr_assert_eq(page.entries.size(), 1U);
+    cr_assert_eq(page.unusable.size(), 2U);
+    const ReportedSearcher &searcher = page.entries.at(0);
+    cr_assert(searcher.entry.id == "i-1" && searcher.entry.bornAt == 17 && !searcher.entry.draining);
+    cr_assert(searcher.coldFor == std::chrono::milliseconds(1500));
+}
+
+// Guards against a searcher that stays in use although its entry turned into one that cannot be read.
+Test(storecodec, lastEventOfANameDecides)
+{
+    const std::string events = R"({"deleted":true,"object":)" + object("i-1", Ready) + R"(},{"deleted":false,"object":)" + object("i-1", Ready)
+                               + R"(},{"deleted":false,"object":)" + object("i-2", R"({"state":"odd"})") + "}";
+    const PlatformReply reply = decode(PlatformVerb::WatchSearchers, responded(200, R"({"events":[)" + events + R"(],"as-of":12})"));
+    const auto &page = std::get<SearcherPage>(reply.value);
+    cr_assert_eq(page.entries.size(), 1U);
+    cr_assert(page.removed == std::vector<std::string>{"i-2"});
+}
+
+// Guards against a lost history, a refused call or an unreadable reply that passes for an empty one.
+Test(storecodec, failuresAreNoEmptyReplies)
+{
+    cr_assert(decode(PlatformVerb::WatchSearchers, responded(410, "")).outcome == PlatformOutcome::NotApplied);
+    cr_assert(decode(PlatformVerb::ListSearchers, responded(503, "")).outcome == PlatformOutcome::Unknown);
+    cr_assert(decode(PlatformVerb::ListSearchers, responded(429, "")).outcome == PlatformOutcome::Unknown);
+    cr_assert(decode(PlatformVerb::ListSearchers, responded(200, "{")).outcome == PlatformOutcome::Unknown);
+    cr_assert(decode(PlatformVerb::ReadConfiguration, HttpResult{}).outcome == PlatformOutcome::Unknown);
+}
+
+// Guards against a restarted host that cannot replace the entry of its earlier process.
+Test(storecodec, conflictTellsTheVersionToReplace)
+{
+    const PlatformReply reply = decode(PlatformVerb::CreateHost, responded(409, object("host", "{}")));
+    cr_assert(reply.outcome == PlatformOutcome::NotApplied && reply.version == 5);
+}
--- /dev/null
+++ b/tests/routing/scattered_test.cpp
@@ -0,0 +1,116 @@
+#include "tests/routing/routingfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Quetzallift;
+
+namespace
+{
+RoutingFixture fourShards()
+{
+    RoutingFixture fixture;
+    fixture.addScattered(4, 0.75);
+    fixture.publish();
+    return fixture;
+}
+}
+
+// Guards against an answer that lacks the greatest records, or counts equal ones once.
+Test(scattered, mergesGreatestRecords)
+{
+    const std::string low(16, 'a');
+    const std::string high(16, '\xff');
+    cr_assert(greatestRecords({low + high, high + "short"}, 3) == high + high + low);
+    cr_assert(greatestRecords({low}, 0).empty());
+}
+
+// Guards against a request for all shards that asks one of them twice or not at all.
+Test(scattered, everyShardIsAskedOnce)
+{
+    RoutingFixture fixture = fourShards();
+    fixture.send("/all/");
+    const auto sent = fixture.last<ForwardRequest>();
+    cr_assert_eq(sent.size(), 4U);
+    for (const ForwardRequest &part : sent) {
+        fixture.reply(part.attempt, ForwardReplyKind::Success);
+    }
+    const ClientAnswer answer = fixture.last<AnswerRequest>().at(0).answer;
+    cr_assert(answer.kind == ClientAnswerKind::Merged);
+    cr_assert_eq(answer.signatures.size(), 4U);
+    cr_assert_eq(answer.missing, 0U);
+}
+
+// Guards against a paused searcher that holds up the whole answer although another has the shard.
+Test(scattered, stragglerIsSentElsewhere)
+{
+    RoutingFixture fixture = fourShards();
+    fixture.send("/all/");
+    const auto sent = fixture.last<ForwardRequest>();
+    for (std::size_t part = 1; part < sent.size(); ++part) {
+        fixture.reply(sent[part].attempt, ForwardReplyKind::Success);
+    }
+    fixture.advance(std::chrono::milliseconds(80));
+    const auto hedges = fixture.last<ForwardRequest>();
+    cr_assert_eq(hedges.size(), 1U);
+    cr_assert(hedges.at(0).searcher != sent[0].searcher);
+    fixture.reply(hedges.at(0).attempt, ForwardReplyKind::Success);
+    cr_assert_eq(fixture.last<AnswerRequest>().at(0).answer.signatures.size(), 4U);
+    fixture.reply(sent[0].attempt, ForwardReplyKind::Success);
+    cr_assert(fixture.last<AnswerRequest>().empty());
+}
+
+// Guards against an answer that misses its target for one shard although enough others are there.
+Test(scattered, answersAtTheTargetWithEnoughParts)
+{
+    RoutingFixture fixture = fourShards();
+    fixture.send("/all/");
+    const auto sent = fixture.last<ForwardRequest>();
+    for (std::size_t part = 1; part < sent.size(); ++part) {
+        fixture.reply(sent[part].attempt, ForwardReplyKind::Success);
+    }
+    cr_assert(fixture.last<AnswerRequest>().empty());
+    fixture.advance(std::chrono::milliseconds(120));
+    const ClientAnswer answer = fixture.last<AnswerRequest>().at(0).answer;
+    cr_assert(answer.kind == ClientAnswerKind::Merged);
+    cr_assert_eq(answer.missing, 1U);
+}
+
+// Guards against an answer below the share of shards with which it is of use.
+Test(scattered, tooFewPartsAreNoSuccess)
+{
+    RoutingFixture fixture = fourShards();
+    fixture.send("/all/");
+    const auto sent = fixture.last<ForwardRequest>();
+    fixture.reply(sent[0].attempt, ForwardReplyKind::Success);
+    fixture.reply(sent[1].attempt, ForwardReplyKind::Success);
+    fixture.advance(std::chrono::milliseconds(1000));
+    cr_assert(fixture.last<AnswerRequest>().at(0).answer.kind == ClientAnswerKind::TimedOut);
+}
+
+// Guards against parts of two versions of the index in one answer.
+Test(scattered, runningRequestKeepsItsShards)
+{
+    RoutingFixture fixture = fourShards();
+    fixture.send("/all/");
+    const auto sent = fixture.last<ForwardRequest>();
+    fixture.routes->routes.back().shards = {"s0", "s1"};
+    fixture.routes->version = 2;
+    fixture.publish();
+    for (const ForwardRequest &part : sent) {
+        fixture.reply(part.attempt, ForwardReplyKind::Success);
+    }
+    cr_assert_eq(fixture.last<AnswerRequest>().at(0).answer.signatures.size(), 4U);
+}
+
+// Guards against a request that is sent to shards although too many of them have no searcher for a useful answer.
+Test(scattered, missingServicesMakeARefusal)
+{
+    RoutingFixture fixture = fourShards();
+    for (const char *id : {"s0-near", "s0-far", "s1-near", "s1-far"}) {
+        fixture.searchers->entries.erase(id);
+    }
+    fixture.publish();
+    fixture.send("/all/");
+    cr_assert(fixture.last<ForwardRequest>().empty());
+    cr_assert(fixture.last<AnswerRequest>().at(0).answer.kind == ClientAnswerKind::Refused);
+}
