--- a/src/quetzallift/routing/finishing.cpp
+++ b/src/quetzallift/routing/finishing.cpp
@@ -34,12 +34,15 @@
         ++named;
         text += (text.empty() ? "" : "; ") + part.service + ": ";
         if (part.lastFailure) {
-            text += part.lastFailure->peer + " " + toString(part.lastFailure->kind) + ", " + part.notResent;
+            text += part.lastFailure->peer + " " + toString(part.lastFailure->kind);
         } else if (part.sends == 0) {
             text += "no searcher took it";
         } else {
             text += part.tried.back() + " has not replied";
         }
+        if (*part.notResent != '\0') {
+            text += std::string(", ") + part.notResent;
+        }
     }
     return text;
 }
--- a/tests/platform/clientprotocol_test.cpp
+++ b/tests/platform/clientprotocol_test.cpp
@@ -30,6 +30,13 @@
     cr_assert(read(421, {}).kind == ForwardReplyKind::WrongInstance);
 }
 
+// Guards against a refusal passed on from a searcher that may have run the request: clients would send it again.
+Test(clientprotocol, unfoundedPromisesAreNotPassedOn)
+{
+    cr_assert(read(503, {{"Server-Stamp", "x"}}).signature.empty());
+    cr_assert(read(500, {{"Server-Stamp", "x"}}).signature == "x");
+}
+
 // Guards against headers of one connection that reach the client's connection.
 Test(clientprotocol, connectionHeadersStayBehind)
 {
