--- a/src/quetzallift/routing/searcherchoice.cpp
+++ b/src/quetzallift/routing/searcherchoice.cpp
@@ -71,6 +71,7 @@
         return nullptr;
     }
     std::vector<ReplicaCandidate> candidates;
+    candidates.reserve(chosen.size());
     for (const SearcherLoadPtr &searcher : chosen) {
         candidates.push_back(candidateOf(context, service, *searcher));
     }
