Tell a list of searchers from changes to it by the call

Ruled out: the grace after an outage, which was right to have ended. Change: the purpose of the call says what its reply holds; changes that follow on a replaced table lead to a new list. Test: discovery/changesAreNotTakenForAList failed before, passes now.

--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -50,7 +50,8 @@
     ReadBurn,
     WriteBurn,
     Configuration,
-    Searchers,
+    ListSearchers,
+    WatchSearchers,
     RegisterHost,
     RemoveHost,
 };
--- a/src/quetzallift/control/discovery/discovery.h
+++ b/src/quetzallift/control/discovery/discovery.h
@@ -17,8 +17,11 @@
 // Adopts a newer configuration and watches for the next one.
 void handleConfigurationReply(ReduceContext &context, const PlatformReply &reply);
 
-// Takes a page of searchers or changes over and asks for what follows.
-void handleSearchersReply(ReduceContext &context, const PlatformReply &reply);
+// Takes a page of the list of searchers over and asks for the next one, or for the changes that follow.
+void handleSearcherList(ReduceContext &context, const PlatformReply &reply);
+
+// Takes changes of searchers over and asks for those that follow.
+void handleSearcherChanges(ReduceContext &context, const PlatformReply &reply);
 
 // Remembers the version of this host's entry, or writes it again.
 void handleHostRegistered(ReduceContext &context, const PlatformReply &reply);
--- a/src/quetzallift/control/discovery/searchers.cpp
+++ b/src/quetzallift/control/discovery/searchers.cpp
@@ -146,20 +146,9 @@
     }
     context.emit(StartTimer{{TimerKind::SearchersRead, 0}, context.now + WatchPause});
 }
-}
 
-void followSearchers(ReduceContext &context)
-{
-    const DiscoveryState &discovery = discoveryOf(context);
-    PlatformRequest request;
-    request.verb = discovery.searchersVersion == 0 ? PlatformVerb::ListSearchers : PlatformVerb::WatchSearchers;
-    request.object = discovery.listedTo;
-    request.version = discovery.searchersVersion;
-    request.timeout = discovery.searchersVersion == 0 ? ListTimeout : WatchWait;
-    callPlatform(context, PlatformPurpose::Searchers, std::move(request));
-}
-
-void handleSearchersReply(ReduceContext &context, const PlatformReply &reply)
+// The page in a reply; null if the call failed, and then it is made again after a pause.
+const SearcherPage *usablePage(ReduceContext &context, const PlatformReply &reply)
 {
     DiscoveryState &discovery = discoveryOf(context);
     const auto *page = std::get_if<SearcherPage>(&reply.value);
@@ -172,16 +161,47 @@
             context.emit(WriteLog{{LogLevel::Warning, Step::Watch, "store", {}, "searchers cannot be read", {{"reason", reply.detail}}}});
         }
         context.emit(StartTimer{{TimerKind::SearchersRead, 0}, context.now + retryPause(context)});
-        return;
+        return nullptr;
     }
     for (const std::string &reason : page->unusable) {
         context.emit(WriteLog{{LogLevel::Warning, Step::Watch, "store", {}, "entry of a searcher cannot be used", {{"reason", reason}}}});
     }
-    if (discovery.searchersVersion == 0) {
+    return page;
+}
+}
+
+void followSearchers(ReduceContext &context)
+{
+    const DiscoveryState &discovery = discoveryOf(context);
+    const bool list = discovery.searchersVersion == 0;
+    PlatformRequest request;
+    request.verb = list ? PlatformVerb::ListSearchers : PlatformVerb::WatchSearchers;
+    request.object = discovery.listedTo;
+    request.version = discovery.searchersVersion;
+    request.timeout = list ? ListTimeout : WatchWait;
+    callPlatform(context, list ? PlatformPurpose::ListSearchers : PlatformPurpose::WatchSearchers, std::move(request));
+}
+
+void handleSearcherList(ReduceContext &context, const PlatformReply &reply)
+{
+    if (const SearcherPage *page = usablePage(context, reply)) {
         takeList(context, *page, reply.version);
-    } else {
-        takeChanges(context, *page, reply.version);
+        publishSearchers(context);
+    }
+}
+
+void handleSearcherChanges(ReduceContext &context, const PlatformReply &reply)
+{
+    const SearcherPage *page = usablePage(context, reply);
+    if (page == nullptr) {
+        return;
+    }
+    if (discoveryOf(context).searchersVersion == 0) {
+        // Searchers came from a peer meanwhile; these changes follow on others.
+        followSearchers(context);
+        return;
     }
+    takeChanges(context, *page, reply.version);
     publishSearchers(context);
 }
 
--- a/src/quetzallift/control/platformcalls.cpp
+++ b/src/quetzallift/control/platformcalls.cpp
@@ -98,8 +98,11 @@
     case PlatformPurpose::Configuration:
         handleConfigurationReply(context, reply);
         break;
-    case PlatformPurpose::Searchers:
-        handleSearchersReply(context, reply);
+    case PlatformPurpose::ListSearchers:
+        handleSearcherList(context, reply);
+        break;
+    case PlatformPurpose::WatchSearchers:
+        handleSearcherChanges(context, reply);
         break;
     case PlatformPurpose::RegisterHost:
         handleHostRegistered(context, reply);
--- a/tests/control/discovery_test.cpp
+++ b/tests/control/discovery_test.cpp
@@ -206,6 +206,25 @@
     cr_assert(fixture.knows("x"));
 }
 
+// Guards against the fault of an own day, freezes-and-clocks: a host that woke up took searchers from a peer while its watch
+// was under way, read the few changes in the watch's reply as the whole list, and dropped nearly all searchers.
+Test(discovery, changesAreNotTakenForAList)
+{
+    DiscoveryFixture fixture;
+    fixture.start({"x", "y", "z"});
+    fixture.now += std::chrono::seconds(6);
+    PeerMessage reply;
+    reply.sender.self = {"peer", {1, 0}, MemberStatus::Live, false, "10.0.0.3:80", "10.0.0.3:81", "a", {}};
+    reply.body = TablesReply{"", {{"x", "s", "10.0.0.2:80", "a", 2, false, {}, 1}, {"y", "s", "10.0.0.2:80", "a", 2, false, {}, 1}}, std::chrono::seconds(1)};
+    fixture.apply(PeerMessageArrived{"10.0.0.3:81", reply});
+    cr_assert(fixture.knows("x") && fixture.knows("y") && !fixture.knows("z"));
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 9, DiscoveryFixture::page({"x"}));
+    cr_assert(fixture.knows("x") && fixture.knows("y"));
+    // The watch went on from a version that the peer's searchers do not have, so that only a list brings both together.
+    fixture.answer(PlatformVerb::ListSearchers, PlatformOutcome::Applied, 12, DiscoveryFixture::page({"x", "y", "w"}));
+    cr_assert(fixture.knows("y") && fixture.knows("w"));
+}
+
 // Guards against an entry in the host list that an earlier process left and that is never replaced.
 Test(discovery, replacesItsOldHostEntry)
 {
