Continue the event loop after an interrupted wait

Ruled out: the reducer, which got no event; the log shows 'work_pending_i: Interrupted system call' at each case. Change: the reactor restarts interrupted waits. Test: eventloop/interruptedWaitGoesOn failed before, passes now.

--- a/src/quetzallift/edge/eventloop.cpp
+++ b/src/quetzallift/edge/eventloop.cpp
@@ -51,6 +51,9 @@
     })
 {
     m_reactor->register_handler(&m_mailbox, ACE_Event_Handler::READ_MASK);
+    // Continues a wait that a signal interrupts, as when the process was paused; without this the loop would end.
+    constexpr int Continue = 1;
+    m_reactor->restart(Continue);
 }
 
 EventLoop::~EventLoop()
--- /dev/null
+++ b/tests/edge/eventloop_test.cpp
@@ -0,0 +1,39 @@
+#include "quetzallift/edge/eventloop.h"
+
+#include <criterion/criterion.h>
+
+#include <pthread.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace Quetzallift;
+
+namespace
+{
+void ignoreSignal(int)
+{ }
+}
+
+// Guards against a loop that ends, and with it the process, because a signal interrupts its wait. A process that is paused
+// and continued finds its wait interrupted in this way.
+Test(eventloop, interruptedWaitGoesOn)
+{
+    struct sigaction action = {};
+    action.sa_handler = &ignoreSignal;
+    sigaction(SIGUSR2, &action, nullptr);
+    EventLoop loop;
+    bool reached = false;
+    const pthread_t waiting = pthread_self();
+    std::thread interrupter([waiting] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        pthread_kill(waiting, SIGUSR2);
+    });
+    loop.callAt(Clock::now() + std::chrono::milliseconds(200), [&loop, &reached] {
+        reached = true;
+        loop.stop();
+    });
+    loop.run();
+    interrupter.join();
+    cr_assert(reached);
+}
