Refuse requests that arrive while an HTTP server is destroyed

Change: once the server ends, a request that arrives closes its connection. Test: httpserver/endsWithARequestThatWasNotReadYet crashed before, passes now.

--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -34,10 +34,11 @@
         , m_closeWatch(reactor)
     { }
 
-    // Closes the connections that wait for a response; libmicrohttpd cannot stop with suspended ones. A response would
-    // claim an outcome that is not known.
-    void dropSuspended()
+    // Closes the connections that wait for a response, and those on which another request arrives; libmicrohttpd cannot
+    // stop with suspended ones. A response would claim an outcome that is not known.
+    void end()
     {
+        m_ending = true;
         while (!m_suspended.empty()) {
             m_suspended.front().drop();
         }
@@ -65,6 +66,9 @@
             return MHD_YES;
         }
         auto *self = static_cast<HttpServerCallbacks *>(context);
+        if (self->m_ending && !exchange->m_responded) {
+            return MHD_NO;
+        }
         if (!exchange->m_handled) {
             self->handle(*exchange);
         }
@@ -171,6 +175,7 @@
     std::function<void()> m_scheduleWork;
     CloseWatch m_closeWatch;
     SuspendedList m_suspended;
+    bool m_ending = false;
 };
 
 // Registers the daemon's epoll descriptor in the reactor.
@@ -222,7 +227,7 @@
         *m_alive = false;
         m_loop.reactor().remove_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
         stopListening();
-        m_callbacks.dropSuspended();
+        m_callbacks.end();
         MHD_run(m_daemon);
         MHD_stop_daemon(m_daemon);
     }
--- a/tests/edge/httpserver_test.cpp
+++ b/tests/edge/httpserver_test.cpp
@@ -1,11 +1,15 @@
 #include "quetzallift/edge/eventloop.h"
 #include "quetzallift/edge/httpclient.h"
 #include "quetzallift/edge/httpserver.h"
+#include "quetzallift/edge/socketaddress.h"
 
 #include <curl/curl.h>
 
 #include <criterion/criterion.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace Quetzallift;
 
 namespace
@@ -66,3 +70,30 @@
     loop.run();
     cr_assert(outcome == HttpOutcome::Reset);
 }
+
+// Guards against a process that aborts at its end because a request waits, unread, on a kept connection while its server is
+// destroyed.
+Test(httpserver, endsWithARequestThatWasNotReadYet)
+{
+    constexpr const char *OtherAddress = "127.0.0.1:19873";
+    constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    EventLoop loop;
+    unsigned handled = 0;
+    auto server = std::make_unique<HttpServer>(loop, OtherAddress, [&](const HttpExchangePtr &exchange) {
+        if (++handled == 1) {
+            exchange->respond(200, "{}");
+            loop.callAt(Clock::now() + std::chrono::milliseconds(50), [&loop] {
+                loop.stop();
+            });
+        }
+    });
+    const sockaddr_in peer = parseAddress(OtherAddress);
+    const int handle = socket(AF_INET, SOCK_STREAM, 0);
+    cr_assert_eq(connect(handle, reinterpret_cast<const sockaddr *>(&peer), sizeof(peer)), 0);
+    send(handle, Request.data(), Request.size(), MSG_NOSIGNAL);
+    loop.run();
+    send(handle, Request.data(), Request.size(), MSG_NOSIGNAL);
+    server.reset();
+    close(handle);
+    cr_assert_eq(handled, 1U);
+}
