Let hosts of a large fleet hedge; send clients to hosts of their region

Ruled out: the shares of connections and the attempts of the route (two allowed, one used). Change: RetryBudget keeps at most what a full budget leaves beyond one token, and the slack grows back over its window. The directory prefers data centres of the client's region that have searchers; regions come from the settings.

--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -36,6 +36,7 @@
     host.peerAddress = address(fields, "peer_address");
     host.dataCentre = fields.text("data_centre", MaximumNameLength);
     host.region = fields.text("region", MaximumNameLength);
+    host.regions = fields.textMap("regions");
     host.trafficThreads = static_cast<unsigned>(fields.integer("traffic_threads", 1, MaximumTrafficThreads, 2));
     ReloadableSettings &times = host.reloadable;
     times.stopLimit = fields.milliseconds("stop_limit_ms", std::chrono::milliseconds(1), std::chrono::hours(1), times.stopLimit);
@@ -83,6 +84,7 @@
     routes.metricsAddress = address(fields, "metrics_address");
     allowance.ratio = fields.number("retry_ratio", 0.0, 1.0, allowance.ratio);
     allowance.slack = fields.number("retry_slack", 0.0, 1e6, allowance.slack);
+    allowance.window = fields.milliseconds("retry_window_ms", std::chrono::milliseconds(1), std::chrono::hours(1), allowance.window);
     fields.rejectUnknown();
     return routes;
 }
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -11,6 +11,7 @@
 #include "quetzallift/model/platform.h"
 #include "quetzallift/model/reloadablesettings.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -26,6 +27,8 @@
     std::string peerAddress;
     std::string dataCentre;
     std::string region;
+    // The region of each data centre.
+    std::map<std::string, std::string> regions;
     // The set of hosts and searchers that this host belongs to; empty in a fleet of one set.
     std::string cell;
     // Peer addresses to ask while no other host is known, for instance because the platform is down.
--- a/src/quetzallift/control/publish.cpp
+++ b/src/quetzallift/control/publish.cpp
@@ -62,6 +62,7 @@
     snapshot->leaving = state.stop.requested;
     snapshot->addresses = usableAddresses(state);
     snapshot->addressesVersion = addressesVersion(snapshot->addresses);
+    snapshot->regions = state.self.regions;
     snapshot->addressesKeepFor = state.self.reloadable.addressesKeepFor;
     snapshot->leavingSearchers = leavingSearchers(state);
     addShares(state, *snapshot);
--- a/src/quetzallift/edge/jsonfields.cpp
+++ b/src/quetzallift/edge/jsonfields.cpp
@@ -211,6 +211,21 @@
     return found->get<std::vector<std::string>>();
 }
 
+std::map<std::string, std::string> JsonFields::textMap(const std::string &name)
+{
+    const nlohmann::json *found = find(name);
+    if (found == nullptr) {
+        return {};
+    }
+    const bool allTexts = found->is_object() && std::all_of(found->begin(), found->end(), [](const nlohmann::json &item) {
+                              return item.is_string();
+                          });
+    if (!allTexts) {
+        fail(name, "an object whose values are texts");
+    }
+    return found->get<std::map<std::string, std::string>>();
+}
+
 void JsonFields::rejectUnknown() const
 {
     for (const auto &[name, value] : m_object.items()) {
--- a/src/quetzallift/edge/jsonfields.h
+++ b/src/quetzallift/edge/jsonfields.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -44,6 +45,9 @@
     std::vector<JsonFields> objects(const std::string &name);
     std::vector<std::string> texts(const std::string &name);
 
+    // An object whose values are texts. An absent object is empty.
+    std::map<std::string, std::string> textMap(const std::string &name);
+
     // Throws if the object has a field that was not asked for.
     void rejectUnknown() const;
 
--- a/src/quetzallift/model/controlsnapshot.h
+++ b/src/quetzallift/model/controlsnapshot.h
@@ -28,6 +28,8 @@
     // The entry hosts that callers may use, and the version of this list.
     std::vector<HostAddress> addresses;
     std::uint64_t addressesVersion = 0;
+    // The region of each data centre; empty if the settings do not name them.
+    std::map<std::string, std::string> regions;
     // How long a caller may keep an answer about addresses.
     Duration addressesKeepFor = std::chrono::seconds(10);
     // Connections that this host may hold to each searcher, by searcher address; absent means none.
--- a/src/quetzallift/model/reloadablesettings.h
+++ b/src/quetzallift/model/reloadablesettings.h
@@ -10,6 +10,8 @@
     double ratio = 0.2;
     // Extra requests in a window on top of that, over all hosts.
     double slack = 50.0;
+    // The length of that window.
+    Duration window = std::chrono::seconds(10);
 
     bool operator==(const RetryAllowance &) const = default;
 };
--- a/src/quetzallift/routing/accept.cpp
+++ b/src/quetzallift/routing/accept.cpp
@@ -129,7 +129,7 @@
     }
     const std::vector<std::string> names = servicesOf(context, *route);
     for (const std::string &name : names) {
-        state.services[name].extras.deposit(state.allowance.ratio);
+        state.services[name].extras.deposit(context.now);
     }
     if (!enoughServices(state, *route, names)) {
         answerAtOnce(context, event.request, content, route, refusal(RetryAfterMissing, "too few services have a searcher"));
--- a/src/quetzallift/routing/dispatch.cpp
+++ b/src/quetzallift/routing/dispatch.cpp
@@ -54,7 +54,15 @@
 
 bool payFor(ServiceLoad &service, ResendCause cause)
 {
-    return cause == ResendCause::NotSent || service.extras.take(cause == ResendCause::Overdue ? service.keptForRetries : 0.0);
+    switch (cause) {
+    case ResendCause::NotSent:
+        return true;
+    case ResendCause::Overdue:
+        return service.extras.takeForHedge();
+    case ResendCause::Failed:
+        break;
+    }
+    return service.extras.takeForRetry();
 }
 
 bool mayRunAgain(const RunningRequest &request, const PartProgress &part)
--- a/src/quetzallift/routing/followsnapshot.cpp
+++ b/src/quetzallift/routing/followsnapshot.cpp
@@ -12,11 +12,6 @@
 // A tenth of each searcher's connections is left for hosts that join, and for connections of hosts that died, which a
 // searcher notices late.
 constexpr double ConnectionReserve = 0.1;
-// The part of the fleet's slack that this host may spend at once. Hosts that restart begin with a full budget again, so
-// the fleet must stay below its slack even if many do.
-constexpr double SlackPart = 0.6;
-// The part of the budget that only retries may use.
-constexpr double RetryPart = 0.4;
 
 SearcherLoadPtr loadOf(const RoutingState &state, const SearcherEntry &entry)
 {
@@ -59,9 +54,7 @@
         ServiceLoad &service = state.services[name];
         const double part = policy.connectionLimit * (1.0 - ConnectionReserve) / divisor;
         service.connections = std::max(1U, static_cast<unsigned>(part));
-        const double burst = std::max(1.0, state.allowance.slack * SlackPart / divisor);
-        service.extras.resize(burst);
-        service.keptForRetries = burst * RetryPart;
+        service.extras.resize(state.allowance, hosts);
     }
 }
 }
--- a/src/quetzallift/routing/hostchoice.cpp
+++ b/src/quetzallift/routing/hostchoice.cpp
@@ -44,6 +44,20 @@
     });
     return hosts;
 }
+
+// The data centres of the given ones that share a region with this one.
+std::set<std::string> inRegionOf(const ControlSnapshot &control, const std::string &dataCentre, const std::set<std::string> &dataCentres)
+{
+    std::set<std::string> same;
+    const auto region = control.regions.find(dataCentre);
+    for (const std::string &candidate : dataCentres) {
+        const auto other = control.regions.find(candidate);
+        if (region != control.regions.end() && other != control.regions.end() && other->second == region->second) {
+            same.insert(candidate);
+        }
+    }
+    return same;
+}
 }
 
 std::vector<HostAddress> hostsForClients(const ControlSnapshot &control, const std::string &dataCentre)
@@ -53,7 +67,7 @@
         const std::set<std::string> complete = completeDataCentres(control);
         // Without a complete data centre parts travel in any case, and the client's own way is what can be saved.
         const bool own = complete.empty() || complete.contains(dataCentre);
-        hosts = hostsIn(control, own ? std::set<std::string>{dataCentre} : complete);
+        hosts = hostsIn(control, own ? std::set<std::string>{dataCentre} : inRegionOf(control, dataCentre, complete));
         if (hosts.empty()) {
             hosts = hostsIn(control, complete);
         }
--- a/src/quetzallift/routing/serviceload.h
+++ b/src/quetzallift/routing/serviceload.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "quetzallift/query/tokenbucket.h"
+#include "quetzallift/routing/retrybudget.h"
 #include "quetzallift/routing/searcherload.h"
 
 #include <deque>
@@ -21,9 +21,7 @@
     // Connections of one searcher that this host may use.
     unsigned connections = 1;
     LatencyAverage latency;
-    TokenBucket extras{0.0};
-    // Tokens that hedges leave for retries: a request that failed is lost without one, a slow one is only late.
-    double keptForRetries = 0.0;
+    RetryBudget extras;
     std::deque<WaitingPart> waiting;
 };
 }
--- a/tests/routing/routingfixture.h
+++ b/tests/routing/routingfixture.h
@@ -19,6 +19,7 @@
     Effects effects;
     std::uint64_t lastRequest = 0;
     bool leaving = false;
+    std::size_t hosts = 1;
 
     RoutingFixture()
     {
@@ -73,7 +74,9 @@
         RefPtr<ControlSnapshot> snapshot(new ControlSnapshot);
         snapshot->routes = routes;
         snapshot->searchers = searchers;
-        snapshot->addresses = {{"host", "10.0.0.9:80", "a"}};
+        for (std::size_t host = 0; host < hosts; ++host) {
+            snapshot->addresses.push_back({"host" + std::to_string(host), "10.0.0.9:80", "a"});
+        }
         snapshot->leaving = leaving;
         apply(ControlSnapshotPublished{snapshot});
     }
--- a/tests/routing/scattered_test.cpp
+++ b/tests/routing/scattered_test.cpp
@@ -114,3 +114,32 @@
     cr_assert(fixture.last<ForwardRequest>().empty());
     cr_assert(fixture.last<AnswerRequest>().at(0).answer.kind == ClientAnswerKind::Refused);
 }
+
+// Guards against a part of the retry budget so small, in a fleet of many hosts, that no straggler is ever sent elsewhere.
+Test(scattered, stragglerIsSentElsewhereInALargeFleet)
+{
+    RoutingFixture fixture;
+    fixture.addScattered(4, 0.75);
+    fixture.hosts = 83;
+    fixture.state.routing.allowance = {0.2, 206.0, std::chrono::seconds(10)};
+    fixture.publish();
+    for (int round = 0; round < 3; ++round) {
+        fixture.send("/all/");
+        const auto sent = fixture.last<ForwardRequest>();
+        for (std::size_t part = 1; part < sent.size(); ++part) {
+            fixture.reply(sent[part].attempt, ForwardReplyKind::Success);
+        }
+        fixture.advance(std::chrono::milliseconds(80));
+        cr_assert_eq(fixture.last<ForwardRequest>().size(), 1U);
+        fixture.reply(fixture.last<ForwardRequest>().at(0).attempt, ForwardReplyKind::Success);
+        fixture.reply(sent[0].attempt, ForwardReplyKind::Success);
+        // Requests for a shard reach one host of a large fleet about twice a second.
+        for (int quiet = 0; quiet < 20; ++quiet) {
+            fixture.advance(std::chrono::milliseconds(500));
+            fixture.send("/all/");
+            for (const ForwardRequest &part : fixture.last<ForwardRequest>()) {
+                fixture.reply(part.attempt, ForwardReplyKind::Success);
+            }
+        }
+    }
+}
