Let one host of a data centre read the store and pass tables on; sync while joining

Change: the host of a data centre with the greatest rendezvous weight reads; the others get what it read, also that nothing changed, and read for themselves once nobody has vouched for their tables for 1.9 s, which leaves a second of the 3 s in which a change must be in force. Updates carry the store's versions, so that any host can go on from any other's. Change: while joining, an exchange of tables that brought something leads to the next one. Ruled out: heartbeats that end watches (in the soak two readers make 1.7 calls a second each, the others none). Tests: tablesupdate/* were written with the code; fleet/largeFleetFindsItselfAtItsStart failed before (32 of 61 hosts known after 3 s) and passes now.

--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -37,6 +37,7 @@
     host.dataCentre = fields.text("data_centre", MaximumNameLength);
     host.region = fields.text("region", MaximumNameLength);
     host.regions = fields.textMap("regions");
+    host.firstStart = fields.flag("first_start", false);
     host.trafficThreads = static_cast<unsigned>(fields.integer("traffic_threads", 1, MaximumTrafficThreads, 2));
     ReloadableSettings &times = host.reloadable;
     times.stopLimit = fields.milliseconds("stop_limit_ms", std::chrono::milliseconds(1), std::chrono::hours(1), times.stopLimit);
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -34,6 +34,8 @@
     // Peer addresses to ask while no other host is known, for instance because the platform is down.
     std::vector<std::string> peers;
     unsigned trafficThreads = 1;
+    // True if all hosts of the fleet start together for the first time.
+    bool firstStart = false;
     ReloadableSettings reloadable;
 };
 
--- a/src/quetzallift/control/discovery/configuration.cpp
+++ b/src/quetzallift/control/discovery/configuration.cpp
@@ -2,6 +2,8 @@
 
 #include "quetzallift/control/discovery/discovery.h"
 #include "quetzallift/control/discovery/retrypause.h"
+#include "quetzallift/control/discovery/storereading.h"
+#include "quetzallift/control/discovery/tablesupdate.h"
 #include "quetzallift/control/platformcalls.h"
 #include "quetzallift/control/publish.h"
 #include "quetzallift/core/reducecontext.h"
@@ -10,9 +12,9 @@
 {
 namespace
 {
-// A connection may fall silent without a reset; a watch that is renewed this often notices within the few seconds in which
-// a configuration must be in force.
-constexpr Duration WatchWait = std::chrono::milliseconds(2500);
+// Hosts that follow this one must hear within their patience that nothing changed. It also bounds the time for which a
+// connection that has fallen silent without a reset goes unnoticed.
+constexpr Duration WatchWait = std::chrono::milliseconds(1200);
 // A single read is answered in milliseconds while the store is well.
 constexpr Duration ReadTimeout = std::chrono::milliseconds(800);
 }
@@ -20,6 +22,12 @@
 void followConfiguration(ReduceContext &context)
 {
     const DiscoveryState &discovery = context.state.control.discovery;
+    // A host that restarts can serve nothing before it knows a configuration, and one read is cheap.
+    const bool urgent = !discovery.routes && !context.state.control.self.firstStart;
+    if (!urgent && !mustReadStore(context)) {
+        lookAgainLater(context, TimerKind::ConfigurationRead);
+        return;
+    }
     PlatformRequest request;
     request.verb = discovery.configurationVersion == 0 ? PlatformVerb::ReadConfiguration : PlatformVerb::WatchConfiguration;
     request.version = discovery.configurationVersion;
@@ -51,9 +59,11 @@
     DiscoveryState &discovery = context.state.control.discovery;
     if (reply.outcome == PlatformOutcome::Applied) {
         discovery.configurationVersion = reply.version;
+        discovery.configurationReadAt = context.now;
         if (const auto *routes = std::get_if<RouteTablePtr>(&reply.value)) {
             adoptConfiguration(context, *routes, "store");
         }
+        passTablesOn(context, discovery.searchersVersion, {});
         followConfiguration(context);
         return;
     }
--- a/src/quetzallift/control/discovery/discovery.h
+++ b/src/quetzallift/control/discovery/discovery.h
@@ -34,4 +34,7 @@
 
 // Takes over what a peer knows if it is newer.
 void handleTablesReply(ReduceContext &context, const PeerSender &sender, const TablesReply &reply);
+
+// Takes over changes that a peer read from the store, or asks for its tables if they do not follow on what is known.
+void handleTablesUpdate(ReduceContext &context, const PeerSender &sender, const TablesUpdate &update);
 }
--- a/src/quetzallift/control/discovery/discoverystate.h
+++ b/src/quetzallift/control/discovery/discoverystate.h
@@ -15,8 +15,10 @@
     bool enabled = false;
 
     RouteTablePtr routes;
-    // The store's version of the configuration object; 0 until it was read.
+    // The store's version at which the configuration is known; 0 while it must be read.
     std::uint64_t configurationVersion = 0;
+    // When the configuration was last known to be up to date; empty until it was read.
+    std::optional<TimePoint> configurationReadAt;
 
     std::map<std::string, SearcherEntry> searchers;
     // What traffic threads were told last.
@@ -31,6 +33,10 @@
     std::uint64_t listVersion = 0;
     // When the searchers were last known to be up to date; empty until the first list.
     std::optional<TimePoint> searchersReadAt;
+    // When the store last vouched for both tables to a host that passes them on; empty if none has.
+    std::optional<TimePoint> relayedAt;
+    // When another host was last asked for its tables.
+    TimePoint tablesAskedAt;
     // Until when entries that vanish may still come back after an outage.
     TimePoint outageGraceUntil;
     unsigned searcherFailures = 0;
--- a/src/quetzallift/control/discovery/relay.cpp
+++ b/src/quetzallift/control/discovery/relay.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 constexpr Duration PollPeriod = std::chrono::seconds(1);
+// A host that restarts refuses requests until it has the tables.
+constexpr Duration FirstPollPeriod = std::chrono::milliseconds(100);
 // Two watches of the store fit into this time; without an answer for so long a peer may know more.
 constexpr Duration StoreSilence = std::chrono::seconds(3);
 // What a peer knows must be newer by more than the time that a message may take.
@@ -26,7 +28,9 @@
 
 void startPeerTables(ReduceContext &context)
 {
-    context.emit(StartTimer{{TimerKind::PeerTablesPoll, 0}, context.now + PollPeriod});
+    const ControlState &state = context.state.control;
+    const bool waiting = !state.discovery.searchersReadAt && !state.self.firstStart;
+    context.emit(StartTimer{{TimerKind::PeerTablesPoll, 0}, context.now + (waiting ? FirstPollPeriod : PollPeriod)});
 }
 
 void pollPeerTables(ReduceContext &context)
@@ -36,8 +40,16 @@
         return;
     }
     const DiscoveryState &discovery = context.state.control.discovery;
-    const TablesRequest body{discovery.routes ? discovery.routes->version : 0};
-    for (const Member *member : randomMembers(context, 1, isServing)) {
+    const TablesRequest body{discovery.routes ? discovery.routes->version : 0, true};
+    const std::string &dataCentre = context.state.control.fleet.self.dataCentre;
+    std::vector<const Member *> asked = randomMembers(context, 1, [&dataCentre](const Member &member) {
+        return isServing(member) && member.info.dataCentre == dataCentre;
+    });
+    // Tables are large, and bytes between data centres have a price; a host that has tables already can wait for its own.
+    if (asked.empty() || discovery.searchersReadAt) {
+        asked = randomMembers(context, 1, isServing);
+    }
+    for (const Member *member : asked) {
         sendToMember(context, *member, body);
     }
 }
@@ -52,8 +64,13 @@
     if (discovery.routes->version > request.configuration) {
         reply.document = discovery.routes->document;
     }
-    for (const auto &[id, entry] : discovery.searchers) {
-        reply.searchers.push_back(entry);
+    reply.configurationVersion = discovery.configurationVersion;
+    reply.withSearchers = request.searchers;
+    if (request.searchers) {
+        reply.searchersVersion = discovery.searchersVersion;
+        for (const auto &[id, entry] : discovery.searchers) {
+            reply.searchers.push_back(entry);
+        }
     }
     reply.age = context.now - *discovery.searchersReadAt;
     sendToPeer(context, sender.self.peerAddress, std::move(reply));
@@ -62,11 +79,13 @@
 void handleTablesReply(ReduceContext &context, const PeerSender &sender, const TablesReply &reply)
 {
     DiscoveryState &discovery = context.state.control.discovery;
-    if (!reply.document.empty()) {
-        adoptConfiguration(context, context.state.hooks.readRoutes(reply.document), sender.self.name);
+    if (!reply.document.empty() && adoptConfiguration(context, context.state.hooks.readRoutes(reply.document), sender.self.name)) {
+        discovery.configurationVersion = std::max(discovery.configurationVersion, reply.configurationVersion);
     }
     const TimePoint readAt = context.now - reply.age;
-    if (discovery.searchersReadAt && readAt <= *discovery.searchersReadAt + AgeMargin) {
+    const bool laterVersion = reply.searchersVersion > discovery.searchersVersion && discovery.searchersVersion != 0;
+    const bool laterRead = !discovery.searchersReadAt || readAt > *discovery.searchersReadAt + AgeMargin;
+    if (!reply.withSearchers || !(laterVersion || laterRead)) {
         return;
     }
     discovery.searchers.clear();
@@ -74,9 +93,9 @@
     for (const SearcherEntry &entry : reply.searchers) {
         discovery.searchers[entry.id] = entry;
     }
-    discovery.searchersReadAt = readAt;
-    // The store's version that belongs to this table is not known here.
-    discovery.searchersVersion = 0;
+    discovery.searchersReadAt = std::max(discovery.searchersReadAt, std::optional(readAt));
+    // A version of 0, where the peer does not know it, leads to a new list.
+    discovery.searchersVersion = reply.searchersVersion;
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(reply.age);
     context.emit(WriteLog{{LogLevel::Info,
                            Step::PassOn,
--- a/src/quetzallift/control/discovery/retrypause.cpp
+++ b/src/quetzallift/control/discovery/retrypause.cpp
@@ -6,8 +6,8 @@
 {
 Duration retryPause(ReduceContext &context)
 {
-    constexpr Duration Least = std::chrono::milliseconds(200);
-    constexpr Duration Spread = std::chrono::milliseconds(600);
+    constexpr Duration Least = std::chrono::milliseconds(400);
+    constexpr Duration Spread = std::chrono::milliseconds(800);
     return Least + jitter(context, Spread);
 }
 }
--- a/src/quetzallift/control/discovery/searchers.cpp
+++ b/src/quetzallift/control/discovery/searchers.cpp
@@ -2,6 +2,8 @@
 
 #include "quetzallift/control/discovery/discovery.h"
 #include "quetzallift/control/discovery/retrypause.h"
+#include "quetzallift/control/discovery/storereading.h"
+#include "quetzallift/control/discovery/tablesupdate.h"
 #include "quetzallift/control/platformcalls.h"
 #include "quetzallift/control/publish.h"
 #include "quetzallift/core/reducecontext.h"
@@ -14,10 +16,10 @@
 namespace
 {
 constexpr Duration ListTimeout = std::chrono::milliseconds(800);
-// Heartbeats change entries all the time, so that a watch returns at once; the pause after it bounds the calls, which
-// have a price, and still leaves a leaving searcher without new work in less than 2 s.
-constexpr Duration WatchPause = std::chrono::milliseconds(900);
-constexpr Duration WatchWait = std::chrono::milliseconds(1000);
+// While searchers come and go a watch returns at once; the pause after it bounds the calls, which have a price. Together
+// with the wait it stays below the patience of the hosts that follow this one.
+constexpr Duration WatchPause = std::chrono::milliseconds(500);
+constexpr Duration WatchWait = std::chrono::milliseconds(800);
 // A store that answered nothing for this long may have dropped entries of searchers that live.
 constexpr Duration OutageLength = std::chrono::milliseconds(2800);
 // Searchers that reach the store again are back in it within two seconds of its return.
@@ -82,17 +84,16 @@
     }
 }
 
-// Notes that the store answered, and whether it had been away.
-void noteAnswered(ReduceContext &context)
+// Notes that the store answered this host, or one that passes its answers on, and whether it had been away.
+void noteAnswered(ReduceContext &context, TimePoint readAt)
 {
     DiscoveryState &discovery = discoveryOf(context);
-    if (discovery.searchersReadAt && context.now - *discovery.searchersReadAt > OutageLength) {
+    if (discovery.searchersReadAt && readAt - *discovery.searchersReadAt > OutageLength) {
         discovery.outageGraceUntil = context.now + OutageGrace;
-        const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(context.now - *discovery.searchersReadAt);
+        const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(readAt - *discovery.searchersReadAt);
         context.emit(WriteLog{{LogLevel::Warning, Step::Watch, "store", {}, "store answers again", {{"away_ms", std::to_string(away.count())}}}});
     }
-    discovery.searchersReadAt = context.now;
-    discovery.searcherFailures = 0;
+    discovery.searchersReadAt = std::max(discovery.searchersReadAt, std::optional(readAt));
 }
 
 void takeList(ReduceContext &context, const SearcherPage &page, std::uint64_t version)
@@ -113,7 +114,7 @@
     }
     discovery.listedTo.clear();
     discovery.searchersVersion = discovery.listVersion;
-    noteAnswered(context);
+    noteAnswered(context, context.now);
     std::vector<std::string> missing;
     for (const auto &[id, entry] : discovery.searchers) {
         if (!discovery.listing.contains(id)) {
@@ -126,14 +127,15 @@
     for (const std::string &id : missing) {
         vanish(context, id);
     }
+    passTablesOn(context, discovery.searchersVersion, {});
     followSearchers(context);
 }
 
-void takeChanges(ReduceContext &context, const SearcherPage &page, std::uint64_t version)
+void takeChanges(ReduceContext &context, const SearcherPage &page, std::uint64_t version, TimePoint readAt)
 {
     DiscoveryState &discovery = discoveryOf(context);
     discovery.searchersVersion = version;
-    noteAnswered(context);
+    noteAnswered(context, readAt);
     // More than half at once is an outage that this host did not notice, not a release.
     if (page.removed.size() * 2 > discovery.searchers.size()) {
         discovery.outageGraceUntil = context.now + OutageGrace;
@@ -144,7 +146,6 @@
     for (const ReportedSearcher &reported : page.entries) {
         put(context, received(context, reported));
     }
-    context.emit(StartTimer{{TimerKind::SearchersRead, 0}, context.now + WatchPause});
 }
 
 // The page in a reply; null if the call failed, and then it is made again after a pause.
@@ -163,6 +164,7 @@
         context.emit(StartTimer{{TimerKind::SearchersRead, 0}, context.now + retryPause(context)});
         return nullptr;
     }
+    discovery.searcherFailures = 0;
     for (const std::string &reason : page->unusable) {
         context.emit(WriteLog{{LogLevel::Warning, Step::Watch, "store", {}, "entry of a searcher cannot be used", {{"reason", reason}}}});
     }
@@ -173,6 +175,10 @@
 void followSearchers(ReduceContext &context)
 {
     const DiscoveryState &discovery = discoveryOf(context);
+    if (discovery.listedTo.empty() && !mustReadStore(context)) {
+        lookAgainLater(context, TimerKind::SearchersRead);
+        return;
+    }
     const bool list = discovery.searchersVersion == 0;
     PlatformRequest request;
     request.verb = list ? PlatformVerb::ListSearchers : PlatformVerb::WatchSearchers;
@@ -196,13 +202,31 @@
     if (page == nullptr) {
         return;
     }
-    if (discoveryOf(context).searchersVersion == 0) {
-        // Searchers came from a peer meanwhile; these changes follow on others.
+    const std::uint64_t known = discoveryOf(context).searchersVersion;
+    if (known == 0 || reply.version < known) {
+        // Searchers came from a peer meanwhile; these changes follow on others, or are behind them.
         followSearchers(context);
         return;
     }
-    takeChanges(context, *page, reply.version);
+    takeChanges(context, *page, reply.version, context.now);
     publishSearchers(context);
+    passTablesOn(context, known, *page);
+    context.emit(StartTimer{{TimerKind::SearchersRead, 0}, context.now + WatchPause});
+}
+
+bool followSearcherChanges(ReduceContext &context, std::uint64_t from, std::uint64_t to, const SearcherPage &changes, TimePoint readAt)
+{
+    const std::uint64_t known = discoveryOf(context).searchersVersion;
+    if (known == 0 || known < from) {
+        return false;
+    }
+    if (known < to) {
+        takeChanges(context, changes, to, readAt);
+        publishSearchers(context);
+    } else {
+        noteAnswered(context, readAt);
+    }
+    return true;
 }
 
 void expireSearchers(ReduceContext &context)
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -37,7 +37,7 @@
     ++fleet.ticks;
     expireMembers(context);
     probeNext(context);
-    if (fleet.ticks % SyncEvery == 0) {
+    if (fleet.ticks % SyncEvery == 0 || isJoining(fleet, context.now)) {
         syncWithRandomPeer(context);
     }
     if (!context.state.control.discovery.enabled) {
@@ -91,7 +91,7 @@
     if (state.discovery.enabled) {
         startDiscovery(context);
     } else {
-        state.watching = isWatcher(state);
+        state.watching = isWatcher(state, BundleWatchers);
         followRollout(context);
         readShares(context);
         startBurn(context);
--- a/src/quetzallift/control/peers.cpp
+++ b/src/quetzallift/control/peers.cpp
@@ -71,6 +71,10 @@
     {
         handleTablesReply(context, sender, body);
     }
+    void operator()(const TablesUpdate &body)
+    {
+        handleTablesUpdate(context, sender, body);
+    }
 };
 
 // Takes over what the sender says of itself, and remembers to correct it if more is known.
--- a/src/quetzallift/control/probing.cpp
+++ b/src/quetzallift/control/probing.cpp
@@ -78,16 +78,14 @@
     }
 }
 
-// Asks a peer named by the settings while no other host is known, for instance because the platform is down.
-void probeConfiguredPeer(ReduceContext &context)
+// Asks the peers named by the settings while no other host is known, for instance because the platform is down.
+void probeConfiguredPeers(ReduceContext &context)
 {
-    const std::vector<std::string> &peers = context.state.control.self.peers;
-    if (peers.empty()) {
-        return;
-    }
-    const std::string &address = peers[context.state.hooks.random() % peers.size()];
-    if (address != context.state.control.self.peerAddress) {
-        sendToPeer(context, address, Probe{0});
+    const HostIdentity &self = context.state.control.self;
+    for (const std::string &address : self.peers) {
+        if (address != self.peerAddress) {
+            sendToPeer(context, address, Probe{0});
+        }
     }
 }
 }
@@ -102,7 +100,7 @@
     if (const Member *member = nextInOrder(context)) {
         probeMember(context, *member);
     } else {
-        probeConfiguredPeer(context);
+        probeConfiguredPeers(context);
     }
     if (context.state.control.fleet.ticks % GoneProbeEvery == 0) {
         probeOneGone(context);
--- a/src/quetzallift/control/shares.cpp
+++ b/src/quetzallift/control/shares.cpp
@@ -186,7 +186,7 @@
         shares.writeAt = context.now + WriteDelay + jitter(context, RetryLimit);
     }
     const bool write = shares.writeAt && *shares.writeAt <= context.now;
-    if (isWatcher(context.state.control) && (write || shares.nextRead <= context.now)) {
+    if (isWatcher(context.state.control, BundleWatchers) && (write || shares.nextRead <= context.now)) {
         readShares(context);
     }
 }
@@ -207,7 +207,7 @@
         adoptShares(context, *record);
     }
     const bool due = first || (shares.writeAt && *shares.writeAt <= context.now);
-    if (due && isWatcher(context.state.control) && wantsChange(context)) {
+    if (due && isWatcher(context.state.control, BundleWatchers) && wantsChange(context)) {
         write(context);
     }
 }
--- a/src/quetzallift/control/sync.cpp
+++ b/src/quetzallift/control/sync.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t MaximumBuckets = 256;
 constexpr std::size_t MaximumStatements = 128;
 // A host that has just started fetches the whole table; later exchanges repair little and stop after one reply.
-constexpr Duration JoinTime = std::chrono::seconds(30);
+constexpr Duration JoinTime = std::chrono::seconds(20);
 
 std::size_t bucketOf(const std::string &name, std::size_t buckets)
 {
@@ -101,12 +101,25 @@
 
 void handleSyncReply(ReduceContext &context, const PeerSender &sender, const SyncReply &reply)
 {
+    const MembershipState &fleet = context.state.control.fleet;
+    const std::uint64_t before = fleet.version;
     for (const MemberUpdate &update : reply.members) {
         applyUpdate(context, update, Novelty::KnownElsewhere);
     }
-    const bool joining = context.now < context.state.control.fleet.startedAt + JoinTime;
-    if (reply.more && joining && !reply.members.empty()) {
+    if (!isJoining(fleet, context.now) || reply.members.empty()) {
+        return;
+    }
+    if (reply.more) {
         sendSyncRequest(context, sender.self.peerAddress);
+    } else if (fleet.version != before) {
+        // Hosts that all start together know little each, and nobody spreads what is taken to be known elsewhere. What each
+        // exchange brings doubles until it brings nothing new.
+        syncWithRandomPeer(context);
     }
 }
+
+bool isJoining(const MembershipState &fleet, TimePoint now)
+{
+    return now < fleet.startedAt + JoinTime;
+}
 }
--- a/src/quetzallift/control/sync.h
+++ b/src/quetzallift/control/sync.h
@@ -4,8 +4,12 @@
 
 namespace Quetzallift
 {
+struct MembershipState;
 struct ReduceContext;
 
+// True while this host has not run for long, and may not know all others yet.
+bool isJoining(const MembershipState &fleet, TimePoint now);
+
 // Compares the membership table with that of one random host.
 void syncWithRandomPeer(ReduceContext &context);
 
--- a/src/quetzallift/control/watchers.cpp
+++ b/src/quetzallift/control/watchers.cpp
@@ -11,13 +11,12 @@
 {
 namespace
 {
-constexpr std::size_t WatchersPerDataCentre = 2;
 constexpr Duration PollFloor = std::chrono::seconds(30);
 // All hosts that do not watch make at most 20 reads a second together.
 constexpr Duration PollPerHost = std::chrono::milliseconds(50);
 }
 
-bool isWatcher(const ControlState &state)
+bool isWatcher(const ControlState &state, std::size_t watchers)
 {
     const MemberUpdate &self = state.fleet.self;
     if (self.status != MemberStatus::Live) {
@@ -31,7 +30,7 @@
             ++before;
         }
     }
-    return before < WatchersPerDataCentre;
+    return before < watchers;
 }
 
 Duration pollPeriod(ReduceContext &context)
@@ -43,7 +42,7 @@
 void updateWatching(ReduceContext &context)
 {
     ControlState &state = context.state.control;
-    const bool watcher = isWatcher(state);
+    const bool watcher = isWatcher(state, BundleWatchers);
     if (watcher == state.watching) {
         return;
     }
--- a/src/quetzallift/edge/peercodec.cpp
+++ b/src/quetzallift/edge/peercodec.cpp
@@ -16,6 +16,24 @@
 
 constexpr std::size_t MaximumName = 256;
 constexpr std::uint64_t MaximumBuckets = 4096;
+// A host that was cut off for a year is a broken one.
+constexpr Duration LongestAge = std::chrono::hours(24 * 365);
+
+std::int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+json encode(const SearcherEntry &entry)
+{
+    return {{"id", entry.id},
+            {"service", entry.service},
+            {"address", entry.address},
+            {"data_centre", entry.dataCentre},
+            {"slots", entry.slots},
+            {"draining", entry.draining},
+            {"born_at", entry.bornAt}};
+}
 
 // A statement is an array, which takes less than half the bytes of an object with names. Addresses are left out of
 // statements that hosts which do not know the subject have no use for.
@@ -101,21 +119,35 @@
     {
         fields["kind"] = "tables_request";
         fields["configuration"] = body.configuration;
+        fields["searchers"] = body.searchers;
     }
     void operator()(const TablesReply &body) const
     {
         fields["kind"] = "tables_reply";
         fields["document"] = body.document;
-        fields["age_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(body.age).count();
+        fields["age_ms"] = toMillis(body.age);
+        fields["configuration_version"] = body.configurationVersion;
+        fields["searchers_version"] = body.searchersVersion;
+        fields["with_searchers"] = body.withSearchers;
         fields["searchers"] = json::array();
         for (const SearcherEntry &entry : body.searchers) {
-            fields["searchers"].push_back({{"id", entry.id},
-                                           {"service", entry.service},
-                                           {"address", entry.address},
-                                           {"data_centre", entry.dataCentre},
-                                           {"slots", entry.slots},
-                                           {"draining", entry.draining},
-                                           {"born_at", entry.bornAt}});
+            fields["searchers"].push_back(encode(entry));
+        }
+    }
+    void operator()(const TablesUpdate &body) const
+    {
+        fields["kind"] = "tables_update";
+        fields["configuration"] = body.configuration;
+        fields["configuration_version"] = body.configurationVersion;
+        fields["from"] = body.from;
+        fields["to"] = body.to;
+        fields["age_ms"] = toMillis(body.age);
+        fields["removed"] = body.changes.removed;
+        fields["entries"] = json::array();
+        for (const ReportedSearcher &reported : body.changes.entries) {
+            json entry = encode(reported.entry);
+            entry["cold_ms"] = toMillis(reported.coldFor);
+            fields["entries"].push_back(std::move(entry));
         }
     }
 };
@@ -214,23 +246,49 @@
         return body;
     }
 
-    TablesReply tablesReply()
+    SearcherEntry searcherEntry(JsonFields &item)
     {
         constexpr std::uint64_t MaximumSlots = 100000;
+        SearcherEntry entry;
+        entry.id = item.text("id", MaximumName);
+        entry.service = item.text("service", MaximumName);
+        entry.address = item.text("address", MaximumName);
+        entry.dataCentre = item.text("data_centre", std::string(), MaximumName);
+        entry.slots = static_cast<unsigned>(item.integer("slots", 1, MaximumSlots));
+        entry.draining = item.flag("draining", false);
+        entry.bornAt = item.integer("born_at", 0, UINT64_MAX);
+        return entry;
+    }
+
+    TablesReply tablesReply()
+    {
         TablesReply body;
         body.document = m_fields.text("document", std::string(), MaximumPeerMessage);
-        body.age = m_fields.milliseconds("age_ms", Duration::zero(), std::chrono::hours(24 * 365));
+        body.age = m_fields.milliseconds("age_ms", Duration::zero(), LongestAge);
+        body.configurationVersion = m_fields.integer("configuration_version", 0, UINT64_MAX, 0);
+        body.searchersVersion = m_fields.integer("searchers_version", 0, UINT64_MAX, 0);
+        body.withSearchers = m_fields.flag("with_searchers", true);
         for (JsonFields &item : m_fields.objects("searchers")) {
-            SearcherEntry entry;
-            entry.id = item.text("id", MaximumName);
-            entry.service = item.text("service", MaximumName);
-            entry.address = item.text("address", MaximumName);
-            entry.dataCentre = item.text("data_centre", std::string(), MaximumName);
-            entry.slots = static_cast<unsigned>(item.integer("slots", 1, MaximumSlots));
-            entry.draining = item.flag("draining", false);
-            entry.bornAt = item.integer("born_at", 0, UINT64_MAX);
+            body.searchers.push_back(searcherEntry(item));
             item.rejectUnknown();
-            body.searchers.push_back(std::move(entry));
+        }
+        return body;
+    }
+
+    TablesUpdate tablesUpdate()
+    {
+        TablesUpdate body;
+        body.configuration = m_fields.integer("configuration", 0, UINT64_MAX);
+        body.configurationVersion = m_fields.integer("configuration_version", 0, UINT64_MAX);
+        body.from = m_fields.integer("from", 0, UINT64_MAX);
+        body.to = m_fields.integer("to", 0, UINT64_MAX);
+        body.age = m_fields.milliseconds("age_ms", Duration::zero(), LongestAge);
+        body.changes.removed = m_fields.texts("removed");
+        for (JsonFields &item : m_fields.objects("entries")) {
+            ReportedSearcher reported{searcherEntry(item), Duration::zero()};
+            reported.coldFor = item.milliseconds("cold_ms", Duration::zero(), LongestAge);
+            item.rejectUnknown();
+            body.changes.entries.push_back(std::move(reported));
         }
         return body;
     }
@@ -276,11 +334,15 @@
             return syncRequest();
         }
         if (kind == "tables_request") {
-            return TablesRequest{m_fields.integer("configuration", 0, UINT64_MAX)};
+            const std::uint64_t configuration = m_fields.integer("configuration", 0, UINT64_MAX);
+            return TablesRequest{configuration, m_fields.flag("searchers", true)};
         }
         if (kind == "tables_reply") {
             return tablesReply();
         }
+        if (kind == "tables_update") {
+            return tablesUpdate();
+        }
         if (kind == "sync_reply") {
             std::vector<MemberUpdate> members = updates("members");
             return SyncReply{std::move(members), m_fields.flag("more", false)};
--- a/src/quetzallift/model/peermessage.h
+++ b/src/quetzallift/model/peermessage.h
@@ -70,10 +70,12 @@
     bool more = false;
 };
 
-// Asks for the configuration of routes and the searchers, from a host that the metadata store does not answer.
+// Asks for the configuration of routes and the searchers, for a host that does not read the metadata store itself.
 struct TablesRequest {
     // The version of the configuration that the sender has.
     std::uint64_t configuration = 0;
+    // False if only the configuration is wanted.
+    bool searchers = true;
 };
 
 struct TablesReply {
@@ -82,6 +84,24 @@
     std::vector<SearcherEntry> searchers;
     // How long ago the sender last read the searchers from the store.
     Duration age = Duration::zero();
+    // The store's versions at which the configuration and the searchers are known; 0 if that is not known.
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t searchersVersion = 0;
+    bool withSearchers = true;
+};
+
+// What a host that reads the metadata store passes on to those of its data centre, also if nothing changed.
+struct TablesUpdate {
+    // The version of the configuration in force at the sender.
+    std::uint64_t configuration = 0;
+    // The store's version at which the sender knows that configuration.
+    std::uint64_t configurationVersion = 0;
+    // Brings searchers that are known at the store's version `from`, or a later one, to the version `to`.
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+    SearcherPage changes;
+    // How long ago the store vouched for both.
+    Duration age = Duration::zero();
 };
 
 using PeerMessageBody = std::variant<Probe,
@@ -95,7 +115,8 @@
                                      SyncRequest,
                                      SyncReply,
                                      TablesRequest,
-                                     TablesReply>;
+                                     TablesReply,
+                                     TablesUpdate>;
 
 // One message between entry hosts.
 struct PeerMessage {
--- /dev/null
+++ b/tests/control/discoveryfixture.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "quetzallift/core/event.h"
+#include "quetzallift/core/reduce.h"
+#include "quetzallift/core/state.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+namespace Quetzallift
+{
+// A control thread that follows the metadata store, driven by hand.
+struct DiscoveryFixture {
+    State state;
+    TimePoint now = TimePoint(std::chrono::hours(1));
+    std::vector<CallPlatform> calls;
+    std::vector<StartTimer> timers;
+    ControlSnapshotPtr published;
+    std::vector<SendPeerMessage> messages;
+
+    DiscoveryFixture()
+    {
+        state.control.self.name = "host";
+        state.control.self.address = "10.0.0.1:80";
+        state.control.self.peerAddress = "10.0.0.1:81";
+        state.control.discovery.enabled = true;
+        state.hooks.readRoutes = [](const std::string &document) {
+            return routes(std::stoull(document));
+        };
+        apply(Started{});
+    }
+
+    static RouteTablePtr routes(std::uint64_t version)
+    {
+        RefPtr<RouteTable> table(new RouteTable);
+        table->version = version;
+        table->document = std::to_string(version);
+        return table;
+    }
+
+    static SearcherPage page(const std::vector<std::string> &ids)
+    {
+        SearcherPage page;
+        for (const std::string &id : ids) {
+            page.entries.push_back({{id, "s", "10.0.0.2:80", "a", 2, false, {}, 1}, Duration::zero()});
+        }
+        return page;
+    }
+
+    void apply(EventBody event)
+    {
+        for (const Effect &effect : reduce(state, Event{now, std::move(event)})) {
+            if (const auto *call = std::get_if<CallPlatform>(&effect)) {
+                calls.push_back(*call);
+            } else if (const auto *timer = std::get_if<StartTimer>(&effect)) {
+                timers.push_back(*timer);
+            } else if (const auto *snapshot = std::get_if<PublishControlSnapshot>(&effect)) {
+                published = snapshot->snapshot;
+            } else if (const auto *message = std::get_if<SendPeerMessage>(&effect)) {
+                messages.push_back(*message);
+            }
+        }
+    }
+
+    // Answers the newest call with that verb.
+    void answer(PlatformVerb verb, PlatformOutcome outcome, std::uint64_t version, PlatformValue value = {})
+    {
+        for (auto call = calls.rbegin(); call != calls.rend(); ++call) {
+            if (call->request.verb == verb) {
+                const PlatformCallId id = call->call;
+                calls.erase(std::next(call).base());
+                apply(PlatformReplied{id, {outcome, version, std::move(value), {}}});
+                return;
+            }
+        }
+        cr_assert_fail("no such call");
+    }
+
+    // Fires the newest timer of a kind at its time.
+    void fire(TimerKind kind)
+    {
+        for (auto timer = timers.rbegin(); timer != timers.rend(); ++timer) {
+            if (timer->timer.kind == kind) {
+                now = std::max(now, timer->at);
+                apply(TimerFired{timer->timer});
+                return;
+            }
+        }
+        cr_assert_fail("no such timer");
+    }
+
+    void start(const std::vector<std::string> &ids)
+    {
+        answer(PlatformVerb::ReadConfiguration, PlatformOutcome::Applied, 4, routes(3));
+        answer(PlatformVerb::ListSearchers, PlatformOutcome::Applied, 5, page(ids));
+    }
+
+    bool knows(const std::string &id) const
+    {
+        return published && published->searchers && published->searchers->entries.contains(id);
+    }
+};
+}
--- a/tests/control/fleet_test.cpp
+++ b/tests/control/fleet_test.cpp
@@ -310,3 +310,26 @@
     }
     cr_assert_eq(moved, 0);
 }
+
+// Guards against the fault of quiet-1 on bluemahoe-search-grown: hosts that all start together did not spread what they heard,
+// since each took the others to be known, and knew a few of 83 hosts after 20 s.
+Test(fleet, largeFleetFindsItselfAtItsStart)
+{
+    FleetSimulation fleet(20261204);
+    fleet.platformDown = true;
+    std::vector<std::string> names = {"a", "b"};
+    for (int number = 0; number < 60; ++number) {
+        names.push_back("h" + std::to_string(number));
+    }
+    for (const std::string &name : names) {
+        fleet.start(name);
+    }
+    fleet.run(3s);
+    for (const auto &[name, host] : fleet.hosts) {
+        const auto &members = host.state.control.fleet.members;
+        const auto known = std::count_if(members.begin(), members.end(), [](const auto &entry) {
+            return entry.second.confirmed;
+        });
+        cr_assert_eq(static_cast<std::size_t>(known) + 1, names.size(), "%s knows %zu hosts", name.c_str(), static_cast<std::size_t>(known));
+    }
+}
--- a/tests/edge/peercodec_test.cpp
+++ b/tests/edge/peercodec_test.cpp
@@ -59,3 +59,25 @@
         }
     }
 }
+
+// Guards against a change of searchers that is lost or altered on its way to the other hosts of a data centre.
+Test(peercodec, tablesUpdateSurvives)
+{
+    TablesUpdate update;
+    update.configuration = 8;
+    update.configurationVersion = 30;
+    update.from = 31;
+    update.to = 35;
+    update.age = std::chrono::milliseconds(700);
+    update.changes.entries.push_back({{"x", "s", "10.0.0.2:80", "a", 2, true, {}, 9}, std::chrono::milliseconds(250)});
+    update.changes.removed = {"y"};
+    const TablesUpdate read = std::get<TablesUpdate>(roundTrip(update).body);
+    cr_assert_eq(read.configuration, 8U);
+    cr_assert_eq(read.configurationVersion, 30U);
+    cr_assert(read.from == 31U && read.to == 35U);
+    cr_assert(read.age == std::chrono::milliseconds(700));
+    cr_assert_eq(read.changes.removed.at(0), "y");
+    const ReportedSearcher &reported = read.changes.entries.at(0);
+    cr_assert(reported.entry.id == "x" && reported.entry.draining && reported.entry.bornAt == 9U);
+    cr_assert(reported.coldFor == std::chrono::milliseconds(250));
+}
