--- a/src/quetzallift/edge/eventloop.cpp
+++ b/src/quetzallift/edge/eventloop.cpp
@@ -4,6 +4,8 @@
 #include "quetzallift/edge/acetime.h"
 
 #include <ace/Dev_Poll_Reactor.h>
+#include <ace/Recursive_Thread_Mutex.h>
+#include <ace/Timer_Heap.h>
 
 #include <unordered_map>
 #include <utility>
@@ -32,19 +34,36 @@
     std::uintptr_t m_lastKey = 0;
 };
 
+// ACE's timers follow the time of day by default, which may jump by seconds.
+class EventLoop::TimerQueue : public ACE_Timer_Heap_Variable_Time_Source
+{
+public:
+    TimerQueue()
+    {
+        set_time_policy(ACE_FPointer_Time_Policy(&TimerQueue::steadyTime));
+    }
+
+private:
+    static ACE_Time_Value steadyTime()
+    {
+        return toAceTime(Clock::now().time_since_epoch());
+    }
+};
+
 namespace
 {
 // A reactor that leaves the signal mask alone: no signal handler runs on these threads, and blocking signals around each
 // event costs two system calls.
-std::unique_ptr<ACE_Dev_Poll_Reactor> makeReactor()
+std::unique_ptr<ACE_Dev_Poll_Reactor> makeReactor(ACE_Timer_Queue &timers)
 {
     constexpr int KeepSignalMask = 0;
-    return std::make_unique<ACE_Dev_Poll_Reactor>(nullptr, nullptr, 0, nullptr, KeepSignalMask);
+    return std::make_unique<ACE_Dev_Poll_Reactor>(nullptr, &timers, 0, nullptr, KeepSignalMask);
 }
 }
 
 EventLoop::EventLoop()
-    : m_reactor(std::make_unique<ACE_Reactor>(makeReactor().release(), true))
+    : m_timerQueue(std::make_unique<TimerQueue>())
+    , m_reactor(std::make_unique<ACE_Reactor>(makeReactor(*m_timerQueue).release(), true))
     , m_timers(std::make_unique<Timers>())
     , m_mailbox([this](EventBody event) {
         dispatch(std::move(event));
--- a/src/quetzallift/edge/eventloop.h
+++ b/src/quetzallift/edge/eventloop.h
@@ -49,11 +49,13 @@
     void stop();
 
 private:
+    class TimerQueue;
     class Timers;
 
     void apply(EventBody event);
     void carryOut(const Effect &effect);
 
+    std::unique_ptr<TimerQueue> m_timerQueue;
     std::unique_ptr<ACE_Reactor> m_reactor;
     std::unique_ptr<Timers> m_timers;
     Mailbox m_mailbox;
--- a/tests/edge/eventloop_test.cpp
+++ b/tests/edge/eventloop_test.cpp
@@ -2,9 +2,12 @@
 
 #include <criterion/criterion.h>
 
+#include <ace/Timer_Queue.h>
+
 #include <pthread.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <thread>
 
 using namespace Quetzallift;
@@ -37,3 +40,13 @@
     interrupter.join();
     cr_assert(reached);
 }
+
+// Guards against timers that follow the time of day: a jump of some seconds would fire deadlines early or late by as much.
+Test(eventloop, timersFollowTheSteadyClock)
+{
+    EventLoop loop;
+    const ACE_Time_Value timers = loop.reactor().timer_queue()->gettimeofday();
+    const auto steady = std::chrono::duration_cast<std::chrono::seconds>(Clock::now().time_since_epoch());
+    // The time of day differs from the steady clock by decades.
+    cr_assert_lt(std::abs(timers.sec() - steady.count()), std::chrono::seconds(std::chrono::hours(24)).count());
+}
