Count a peer connection that ends while it is opened once

Cause: a connection that is reset before its first bytes are written is removed by its hook and again by who opened it; the count of incoming connections falls below zero, and the host then refuses every peer. Test: peerstreams/peerThatResetsAtOnceIsCountedOnce failed before (no message arrives), passes now.

--- a/src/quetzallift/edge/peerstreams.cpp
+++ b/src/quetzallift/edge/peerstreams.cpp
@@ -207,8 +207,9 @@
             m_outgoing.erase(outgoing);
             return;
         }
-        m_incoming -= session.isReceiver() ? 1 : 0;
-        m_others.erase(PeerSessionPtr(&session));
+        // A session that ends while it is opened is removed by its hook and by who opened it.
+        const bool known = m_others.erase(PeerSessionPtr(&session)) > 0;
+        m_incoming -= known && session.isReceiver() ? 1 : 0;
     }
 
     void reportLater(const std::string &address)
--- a/tests/edge/peerstreams_test.cpp
+++ b/tests/edge/peerstreams_test.cpp
@@ -1,5 +1,6 @@
 #include "quetzallift/edge/eventloop.h"
 #include "quetzallift/edge/peerstreams.h"
+#include "quetzallift/edge/socketaddress.h"
 
 #include <algorithm>
 #include <atomic>
@@ -10,6 +11,9 @@
 
 #include <criterion/criterion.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace Quetzallift;
 
 namespace
@@ -168,3 +172,23 @@
     near.runUntil(1);
     cr_assert_eq(arrived.load(), Count);
 }
+
+// Guards against a host that refuses all peers after one of them reset its connection at once: the connection was counted as
+// ended twice, and the count of open ones fell below zero.
+Test(peerstreams, peerThatResetsAtOnceIsCountedOnce)
+{
+    const std::string nearAddress = "127.0.0.1:27161";
+    NearHost near(nearAddress);
+    const sockaddr_in target = parseAddress(nearAddress);
+    const int handle = socket(AF_INET, SOCK_STREAM, 0);
+    cr_assert_eq(connect(handle, reinterpret_cast<const sockaddr *>(&target), sizeof target), 0);
+    const linger now{1, 0};
+    setsockopt(handle, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close(handle);
+    const EchoHost far("127.0.0.1:27162");
+    near.loop.callAt(Clock::now() + std::chrono::milliseconds(100), [&near] {
+        near.streams.send("127.0.0.1:27162", "x");
+    });
+    near.runUntil(1);
+    cr_assert_eq(near.received.size(), 1U);
+}
