Refuse a request only if no searcher can begin to work on it

Ruled out: requests that may run once; they have one part, which is not in flight when they are refused. Change: while an attempt is in flight the answer is a failure. The soak holds every refusal to the promise, not only those of requests that may run once. Test: scattered/refusalIsNotSaidWhileSearchersAreAtWork failed before, passes now.

--- a/src/quetzallift/routing/finishing.cpp
+++ b/src/quetzallift/routing/finishing.cpp
@@ -111,12 +111,20 @@
     finish(context, request, std::move(answer));
 }
 
+// True if a searcher may still begin to work on the request.
+bool isInFlight(const RunningRequest &request)
+{
+    return std::any_of(request.parts.begin(), request.parts.end(), [](const PartProgress &part) {
+        return !part.waiting.empty();
+    });
+}
+
 // Answers a request of which not enough arrived.
 void finishUnserved(ReduceContext &context, RunningRequest &request, ClientAnswerKind kind, const std::string &reason)
 {
     // A fresh searcher or a free connection is usually there within this time.
     constexpr Duration RetryAfter = std::chrono::milliseconds(100);
-    if (!request.mayHaveRun) {
+    if (!request.mayHaveRun && !isInFlight(request)) {
         refuseRunning(context, request, RetryAfter, reason);
         return;
     }
--- a/tests/platform/soak/requestledger.cpp
+++ b/tests/platform/soak/requestledger.cpp
@@ -32,7 +32,7 @@
 {
     SentRequest &request = m_requests.at(id);
     request.refused = true;
-    if (!request.idempotent && hasRun(id)) {
+    if (hasRun(id)) {
         violation("REFUSED", id + " " + request.target + " was refused as not run, and has run");
     }
 }
@@ -52,7 +52,7 @@
     if (!request.idempotent && again) {
         violation("TWICE", run.request + " " + request.target + " ran again at " + run.searcher);
     }
-    if (!request.idempotent && request.refused) {
+    if (request.refused) {
         violation("REFUSED", run.request + " " + request.target + " ran at " + run.searcher + " after it was refused as not run");
     }
     if (runners.size() > request.maxAttempts && ++m_overAttempts > AllowedOverAttempts) {
--- a/tests/routing/scattered_test.cpp
+++ b/tests/routing/scattered_test.cpp
@@ -173,3 +173,34 @@
     fixture.advance(std::chrono::milliseconds(12));
     cr_assert_eq(fixture.last<ForwardRequest>().size(), 1U);
 }
+
+// Guards against the fault of inc-4f93: a request was refused as not run since two shards were full, while searchers of others
+// were at work on it.
+Test(scattered, refusalIsNotSaidWhileSearchersAreAtWork)
+{
+    RoutingFixture fixture = fourShards();
+    fixture.state.routing.allowance = {1.0, 1000.0, std::chrono::seconds(10)};
+    fixture.publish();
+    fixture.send("/all/");
+    const auto sent = fixture.last<ForwardRequest>();
+    for (std::size_t part = 0; part < 2; ++part) {
+        fixture.reply(sent[part].attempt, ForwardReplyKind::NotExecuted);
+        const auto again = fixture.last<ForwardRequest>();
+        cr_assert_eq(again.size(), 1U);
+        fixture.reply(again.at(0).attempt, ForwardReplyKind::NotExecuted);
+    }
+    cr_assert(fixture.last<AnswerRequest>().at(0).answer.kind == ClientAnswerKind::Failed);
+}
+
+// Guards against a request that is lost to the client although no searcher took any of it.
+Test(scattered, refusedIfEverySearcherIsFull)
+{
+    RoutingFixture fixture;
+    fixture.addScattered(1, 1.0);
+    fixture.state.routing.allowance = {1.0, 1000.0, std::chrono::seconds(10)};
+    fixture.publish();
+    fixture.send("/all/");
+    fixture.reply(fixture.last<ForwardRequest>().at(0).attempt, ForwardReplyKind::NotExecuted);
+    fixture.reply(fixture.last<ForwardRequest>().at(0).attempt, ForwardReplyKind::NotExecuted);
+    cr_assert(fixture.last<AnswerRequest>().at(0).answer.kind == ClientAnswerKind::Refused);
+}
