--- a/src/quetzallift/app/metrics.cpp
+++ b/src/quetzallift/app/metrics.cpp
@@ -58,6 +58,7 @@
     prometheus::Registry registry;
     std::map<Metric, prometheus::Family<prometheus::Counter> *> counters;
     prometheus::Histogram *latency = nullptr;
+    prometheus::Histogram *sendDelay = nullptr;
 };
 
 Metrics::Metrics()
@@ -69,6 +70,11 @@
     auto &latency =
         prometheus::BuildHistogram().Name("quetzallift_query_latency_seconds").Help("Time from a query's arrival to its answer").Register(m_families->registry);
     m_families->latency = &latency.Add({}, latencyBuckets());
+    auto &sendDelay = prometheus::BuildHistogram()
+                          .Name("quetzallift_send_delay_seconds")
+                          .Help("Time from the decision to send a sub-request to its first byte on the connection")
+                          .Register(m_families->registry);
+    m_families->sendDelay = &sendDelay.Add({}, latencyBuckets());
 }
 
 Metrics::~Metrics() = default;
@@ -87,6 +93,11 @@
     m_families->latency->Observe(std::chrono::duration<double>(latency).count());
 }
 
+void Metrics::observeSendDelay(Duration delay)
+{
+    m_families->sendDelay->Observe(std::chrono::duration<double>(delay).count());
+}
+
 std::string Metrics::page() const
 {
     return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
--- a/src/quetzallift/app/metrics.h
+++ b/src/quetzallift/app/metrics.h
@@ -21,6 +21,9 @@
     // Records the time from a query's arrival to its answer.
     void observeLatency(Duration latency);
 
+    // Records the time from the decision to send a sub-request to its first byte on the connection.
+    void observeSendDelay(Duration delay);
+
     // All metrics in the Prometheus text format.
     std::string page() const;
 
--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -64,6 +64,9 @@
         m_sent.erase(attempt);
         m_loop.dispatch(ForwardFailed{attempt, std::move(failure), sent});
     };
+    hooks.started = [this](Duration delay) {
+        m_metrics.observeSendDelay(delay);
+    };
     hooks.opened = [this](const std::string &) {
         m_metrics.count({Metric::ConnectionsOpened, {}});
     };
--- a/src/quetzallift/edge/upstreamclient.cpp
+++ b/src/quetzallift/edge/upstreamclient.cpp
@@ -78,6 +78,7 @@
     hooks.failed = [this](UpstreamConnection &connection, const Failure &failure, bool sent) {
         handleFailure(connection, failure, sent);
     };
+    hooks.started = m_hooks.started;
     hooks.closed = [this](UpstreamConnection &connection) {
         retire(connection);
     };
--- a/src/quetzallift/edge/upstreamclient.h
+++ b/src/quetzallift/edge/upstreamclient.h
@@ -35,6 +35,9 @@
         std::function<void(AttemptId, Failure, bool sent)> failed;
         // Called before a connection to the searcher is opened, also if opening it fails.
         std::function<void(const std::string &searcher)> opened;
+        // Called when the first byte of a request was written, with the time since send().
+        std::function<void(Duration)> started = [](Duration) {
+        };
     };
 
     UpstreamClient(EventLoop &loop, Hooks hooks);
--- a/src/quetzallift/edge/upstreamconnection.cpp
+++ b/src/quetzallift/edge/upstreamconnection.cpp
@@ -74,6 +74,7 @@
     m_busy = true;
     m_output = std::move(request);
     m_written = 0;
+    m_requestedAt = Clock::now();
     m_reader.reset(expectsBody);
     if (m_handle == ACE_INVALID_HANDLE) {
         return open();
@@ -134,6 +135,9 @@
             watchOutput(false);
             return;
         }
+        if (m_written == 0) {
+            m_hooks.started(Clock::now() - m_requestedAt);
+        }
         m_written += static_cast<std::size_t>(size);
     }
     watchOutput(false);
--- a/src/quetzallift/edge/upstreamconnection.h
+++ b/src/quetzallift/edge/upstreamconnection.h
@@ -25,6 +25,8 @@
         std::function<void(UpstreamConnection &, UpstreamResponse)> replied;
         // The request ended without a response. `sent` is false only if no byte of the request was sent.
         std::function<void(UpstreamConnection &, Failure, bool sent)> failed;
+        // The first byte of the request was written, the given time after send().
+        std::function<void(Duration)> started;
         // The searcher closed an idle connection, or sent bytes on it.
         std::function<void(UpstreamConnection &)> closed;
     };
@@ -73,6 +75,7 @@
     AttemptId m_attempt;
     std::string m_output;
     std::size_t m_written = 0;
+    TimePoint m_requestedAt;
     // No request may be sent after this time, since the searcher is about to close the connection.
     TimePoint m_usableUntil = TimePoint::max();
     ResponseReader m_reader;
