State the time that is left when a sub-request is written

Cause: the reducer turned the deadline into a duration when it decided to send, and the request was encoded at once. On a new connection the bytes then waited for the handshake, and on a host that was busy with a configuration for up to 0.6 s.

Change: ForwardRequest holds the deadline; UpstreamConnection encodes the request when its first byte can be written, and does not send a request whose deadline has passed by then.

The tests of the client adapt to the encoder and to the argument; no check was changed.

--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -144,7 +144,10 @@
 {
     m_sent[effect.attempt] = effect.content;
     const bool expectsBody = effect.content->method != "HEAD";
-    m_upstream.send({effect.attempt, effect.searcher, effect.address, m_protocol.writeForward(effect), expectsBody});
+    const auto encode = [this, effect] {
+        return m_protocol.writeForward(effect, effect.deadline - Clock::now());
+    };
+    m_upstream.send({effect.attempt, effect.searcher, effect.address, encode, effect.deadline, expectsBody});
 }
 
 void RoutingThread::answer(const AnswerRequest &effect)
--- a/src/quetzallift/edge/upstreamclient.cpp
+++ b/src/quetzallift/edge/upstreamclient.cpp
@@ -38,7 +38,7 @@
     UpstreamConnection *idle = takeIdle(request.searcher);
     UpstreamConnection &connection = idle != nullptr ? *idle : open(request);
     m_busy[request.attempt] = &connection;
-    if (connection.send(request.attempt, std::move(request.bytes), request.expectsBody)) {
+    if (connection.send(request.attempt, std::move(request.encode), request.deadline, request.expectsBody)) {
         return;
     }
     // Reported from the loop: the effects of the event that led to this request are still being executed.
--- a/src/quetzallift/edge/upstreamclient.h
+++ b/src/quetzallift/edge/upstreamclient.h
@@ -20,8 +20,10 @@
         AttemptId attempt;
         std::string searcher;
         std::string address;
-        // The encoded request, headers and body.
-        std::string bytes;
+        // Encodes the request, headers and body.
+        UpstreamConnection::Encoder encode;
+        // The request is not sent if its connection is not established by this time.
+        TimePoint deadline = TimePoint::max();
         // False if the response has no body regardless of its headers, as after HEAD.
         bool expectsBody = true;
     };
--- a/src/quetzallift/edge/upstreamconnection.cpp
+++ b/src/quetzallift/edge/upstreamconnection.cpp
@@ -68,21 +68,30 @@
     return m_reactor.register_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::WRITE_MASK) == 0;
 }
 
-bool UpstreamConnection::send(AttemptId attempt, std::string request, bool expectsBody)
+bool UpstreamConnection::send(AttemptId attempt, Encoder encode, TimePoint deadline, bool expectsBody)
 {
     m_attempt = attempt;
     m_busy = true;
-    m_output = std::move(request);
+    m_encode = std::move(encode);
+    m_deadline = deadline;
+    m_output.clear();
     m_written = 0;
     m_requestedAt = Clock::now();
     m_reader.reset(expectsBody);
     if (m_handle == ACE_INVALID_HANDLE) {
         return open();
     }
-    flush();
+    start();
     return true;
 }
 
+void UpstreamConnection::start()
+{
+    m_output = m_encode();
+    m_encode = nullptr;
+    flush();
+}
+
 void UpstreamConnection::closeSocket()
 {
     if (m_handle != ACE_INVALID_HANDLE) {
@@ -154,6 +163,12 @@
             return 0;
         }
         m_connected = true;
+        if (Clock::now() >= m_deadline) {
+            fail(FailureKind::Timeout, "the time limit passed before the connection was established");
+            return 0;
+        }
+        start();
+        return 0;
     }
     flush();
     return 0;
--- a/src/quetzallift/edge/upstreamconnection.h
+++ b/src/quetzallift/edge/upstreamconnection.h
@@ -19,6 +19,10 @@
 class UpstreamConnection : public ACE_Event_Handler
 {
 public:
+    // Returns the bytes of a request. Called when the first of them can be written, so that a time limit in the request does
+    // not include the time to open the connection.
+    using Encoder = std::function<std::string()>;
+
     // Callbacks to the owner, which may retire the connection during any of them.
     struct Hooks {
         // A complete response arrived. The connection may carry another request if isReusable() is true.
@@ -36,8 +40,9 @@
     UpstreamConnection(const UpstreamConnection &) = delete;
     UpstreamConnection &operator=(const UpstreamConnection &) = delete;
 
-    // Opens the connection if it is not open yet and sends a request. Returns false if no connection can be started.
-    bool send(AttemptId attempt, std::string request, bool expectsBody);
+    // Opens the connection if it is not open yet and sends a request. A request whose deadline passes before the connection
+    // is established fails and is not sent. Returns false if no connection can be started.
+    bool send(AttemptId attempt, Encoder encode, TimePoint deadline, bool expectsBody);
 
     // Closes the socket without calling a hook.
     void closeSocket();
@@ -57,6 +62,7 @@
 
 private:
     bool open();
+    void start();
     void flush();
     void handleEndOfStream();
     void finish();
@@ -73,6 +79,8 @@
     bool m_persistent = true;
     bool m_outputWatched = false;
     AttemptId m_attempt;
+    Encoder m_encode;
+    TimePoint m_deadline;
     std::string m_output;
     std::size_t m_written = 0;
     TimePoint m_requestedAt;
--- a/src/quetzallift/routing/dispatch.cpp
+++ b/src/quetzallift/routing/dispatch.cpp
@@ -37,7 +37,7 @@
     ++part.sends;
     ++part.runs;
     request.dispatched = true;
-    context.emit(ForwardRequest{id, searcher->entry.id, searcher->entry.address, request.content, request.deadline - context.now});
+    context.emit(ForwardRequest{id, searcher->entry.id, searcher->entry.address, request.content, request.deadline});
     context.emit(CountMetric{Metric::SubRequests, part.service});
     scheduleStragglerCheck(context, request, index, context.now + hedgeDelay(context, attempt));
 }
--- a/src/quetzallift/routing/effects.h
+++ b/src/quetzallift/routing/effects.h
@@ -16,8 +16,9 @@
     std::string searcher;
     std::string address;
     ClientRequestPtr content;
-    // The time that the searcher has for the request.
-    Duration timeLeft = Duration::zero();
+    // The latest time at which the reply is of use. The time that is left until then is stated to the searcher when the
+    // first byte is written, since a new connection takes time to open.
+    TimePoint deadline;
 };
 
 // Closes the connection of an attempt, so that the searcher stops working on it.
--- a/tests/edge/upstreamclient_test.cpp
+++ b/tests/edge/upstreamclient_test.cpp
@@ -99,7 +99,9 @@
     UpstreamClient *client = nullptr;
     UpstreamClient::Hooks hooks;
     const auto request = [&peer](std::uint64_t attempt) {
-        return UpstreamClient::Request{AttemptId{attempt}, "s", peer.address(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", true};
+        return UpstreamClient::Request{AttemptId{attempt}, "s", peer.address(), [] {
+                                           return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+                                       }};
     };
     hooks.matchesRequest = [](AttemptId, const UpstreamResponse &) {
         return true;
@@ -144,7 +146,9 @@
         loop.stop();
     };
     UpstreamClient client(loop, hooks);
-    client.send({AttemptId{1}, "s", address, "GET / HTTP/1.1\r\n\r\n", true});
+    client.send({AttemptId{1}, "s", address, [] {
+                     return "GET / HTTP/1.1\r\n\r\n";
+                 }});
     loop.run();
     cr_assert_not(sentAnything);
 }
--- a/tests/platform/clientprotocol_test.cpp
+++ b/tests/platform/clientprotocol_test.cpp
@@ -66,9 +66,8 @@
     content->headers = {{"X-End", "2"}};
     ForwardRequest forward;
     forward.searcher = "i-1";
-    forward.timeLeft = std::chrono::microseconds(150900);
     forward.content = content;
-    const std::string text = Platform::clientProtocol().writeForward(forward);
+    const std::string text = Platform::clientProtocol().writeForward(forward, std::chrono::microseconds(150900));
     cr_assert_str_eq(text.c_str(),
                      "POST /a%2F/?q=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 150\r\nExpect-Instance: i-1\r\nX-End: "
                      "2\r\nContent-Length: 2\r\n\r\nxy");
--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -127,7 +127,9 @@
     m_calls[attempt] = call;
     const std::string address = host.process->directoryAddress();
     const std::string target = "/quetzallift/resolution?name=soak.example&region=" + client.dataCentre + "&zone=" + client.dataCentre;
-    m_client.send({attempt, "directory@" + address, address, "GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n"});
+    m_client.send({attempt, "directory@" + address, address, [target, address] {
+                       return "GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
+                   }});
     m_deployment.loop().callAt(Clock::now() + DirectoryTimeout, [this, attempt] {
         leave(attempt);
     });
@@ -175,7 +177,9 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - Clock::now());
     const std::string text = "GET " + sent.target + " HTTP/1.1\r\nHost: " + ClientHost + "\r\nRequest-Id: " + sent.id
                              + "\r\nDeadline-Ms: " + std::to_string(std::max<std::int64_t>(1, left.count())) + "\r\n\r\n";
-    m_client.send({attempt, key, address, text});
+    m_client.send({attempt, key, address, [text] {
+                       return text;
+                   }});
     TimePoint until = call.deadline;
     if (call.kind == CallKind::Request && chance(m_leavingShare)) {
         until = Clock::now() + Duration(static_cast<Duration::rep>(m_random() % LongestPatience.count()));
