Count the time that a request waits in its socket against its limit

A request that waited in the socket of a busy or paused host got its whole limit again, and was sent to searchers although its caller had left.

Change: the server reads the time since the kernel received the request (TCP_INFO) when the request line is read; the reducer counts the limit, the latency target and the time to find a searcher from then, and refuses at once what is already too late.

Evidence: timelimit/excludesTheTimeUntilTheRequestIsRead failed on the code before: after 1 s in the socket the searcher was given 3,800 of 4,000 ms. With single/limitIncludesTheTimeUntilTheRequestWasRead it passes now.

--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -115,7 +115,7 @@
         m_waiting.erase(request);
         m_loop.dispatch(RequestAbandoned{request});
     });
-    m_loop.dispatch(RequestArrived{request, std::move(content)});
+    m_loop.dispatch(RequestArrived{request, std::move(content), exchange->waited()});
 }
 
 void RoutingThread::carryOut(const Effect &effect)
--- a/src/quetzallift/edge/httpexchange.cpp
+++ b/src/quetzallift/edge/httpexchange.cpp
@@ -25,9 +25,10 @@
 }
 }
 
-HttpExchange::HttpExchange(MHD_Connection *connection, std::string target)
+HttpExchange::HttpExchange(MHD_Connection *connection, std::string target, Duration waited)
     : m_connection(connection)
     , m_target(std::move(target))
+    , m_waited(waited)
 {
     const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
     if (info != nullptr) {
@@ -63,6 +64,11 @@
     return m_body;
 }
 
+Duration HttpExchange::waited() const
+{
+    return m_waited;
+}
+
 const std::string &HttpExchange::peer() const
 {
     return m_peer;
--- a/src/quetzallift/edge/httpexchange.h
+++ b/src/quetzallift/edge/httpexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quetzallift/model/clientrequest.h"
+#include "quetzallift/model/time.h"
 
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -19,8 +20,9 @@
 class HttpExchange : public boost::intrusive_ref_counter<HttpExchange, boost::thread_unsafe_counter>
 {
 public:
-    // Constructed when the request line has been read; the target is its path and query string.
-    HttpExchange(MHD_Connection *connection, std::string target);
+    // Constructed when the request line has been read; the target is its path and query string. The request waited in the
+    // socket for the given time before.
+    HttpExchange(MHD_Connection *connection, std::string target, Duration waited);
 
     const std::string &method() const;
     const std::string &path() const;
@@ -28,6 +30,9 @@
     const std::string &target() const;
     const std::string &body() const;
 
+    // How long the request waited in the socket until it was read, as on a host that was busy or paused.
+    Duration waited() const;
+
     // The remote address of the connection, as "ip:port".
     const std::string &peer() const;
 
@@ -68,6 +73,7 @@
 
     MHD_Connection *m_connection;
     std::string m_target;
+    Duration m_waited;
     bool m_started = false;
     std::string m_method;
     std::string m_path;
--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -8,6 +8,8 @@
 #include <ace/Event_Handler.h>
 #include <microhttpd.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <unistd.h>
 
 #include <utility>
@@ -21,6 +23,16 @@
 constexpr unsigned IdleTimeoutSeconds = 120;
 // Half of the file descriptors that a small host has.
 constexpr unsigned MaximumConnections = 2000;
+
+// The time since the kernel last received data on the connection; zero if the kernel does not report it.
+Duration timeSinceLastData(MHD_Connection *connection)
+{
+    const MHD_socket socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const bool known = getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return std::chrono::milliseconds(known ? info.tcpi_last_data_recv : 0);
+}
 }
 
 // The libmicrohttpd callbacks of one server.
@@ -47,7 +59,7 @@
     // Called when the request line was read. The other callbacks receive the returned exchange in their slot argument.
     static void *onTarget(void *, const char *target, MHD_Connection *connection)
     {
-        auto *exchange = new HttpExchange(connection, target);
+        auto *exchange = new HttpExchange(connection, target, timeSinceLastData(connection));
         intrusive_ptr_add_ref(exchange);
         return exchange;
     }
--- a/src/quetzallift/routing/accept.cpp
+++ b/src/quetzallift/routing/accept.cpp
@@ -77,6 +77,13 @@
     return static_cast<std::size_t>(usable) >= requiredParts(route);
 }
 
+// The latest time to answer the request.
+TimePoint deadlineOf(const ReduceContext &context, const RequestArrived &event, const Route &route)
+{
+    const Duration limit = std::min(route.timeout, event.content->timeLimit.value_or(route.timeout));
+    return context.now - event.waited + limit - limit / LimitReserveDivisor;
+}
+
 RunningRequest &addRequest(ReduceContext &context, const RequestArrived &event, const Route &route, const std::vector<std::string> &names)
 {
     RoutingState &state = context.state.routing;
@@ -85,10 +92,9 @@
     request.content = event.content;
     request.table = state.routes;
     request.route = &route;
-    request.arrivedAt = context.now;
-    const Duration limit = std::min(route.timeout, event.content->timeLimit.value_or(route.timeout));
-    request.deadline = context.now + limit - limit / LimitReserveDivisor;
-    request.targetAt = std::min(request.deadline, context.now + route.targetLatency - route.targetLatency / TargetReserveDivisor);
+    request.arrivedAt = context.now - event.waited;
+    request.deadline = deadlineOf(context, event, route);
+    request.targetAt = std::min(request.deadline, request.arrivedAt + route.targetLatency - route.targetLatency / TargetReserveDivisor);
     for (const std::string &name : names) {
         request.parts.emplace_back().service = name;
     }
@@ -98,7 +104,7 @@
 void startTimers(ReduceContext &context, const RunningRequest &request)
 {
     context.emit(StartTimer{{TimerKind::RequestLimit, request.id.value}, request.deadline});
-    context.emit(StartTimer{{TimerKind::DispatchTimeout, request.id.value}, context.now + request.route->targetLatency / OfferLimitDivisor});
+    context.emit(StartTimer{{TimerKind::DispatchTimeout, request.id.value}, request.arrivedAt + request.route->targetLatency / OfferLimitDivisor});
     if (request.route->scattered()) {
         context.emit(StartTimer{{TimerKind::RequestTarget, request.id.value}, request.targetAt});
     }
@@ -127,6 +133,10 @@
         answerUnadmitted(context, event.request, content, route, refusal(RetryAfterOverload, "this host has too many requests running"));
         return;
     }
+    if (deadlineOf(context, event, *route) <= context.now) {
+        answerUnadmitted(context, event.request, content, route, refusal(Duration::zero(), "the time limit passed before the request was read"));
+        return;
+    }
     const std::vector<std::string> names = selectServices(context, *route);
     for (const std::string &name : names) {
         state.services[name].retryBudget.deposit(context.now);
--- a/src/quetzallift/routing/events.h
+++ b/src/quetzallift/routing/events.h
@@ -12,6 +12,8 @@
 struct RequestArrived {
     QueryId request;
     ClientRequestPtr content;
+    // How long the request waited on this host until it was read. The client's time limit includes this time.
+    Duration waited = Duration::zero();
 };
 
 // The settings that take effect without a restart have changed. Sent to the control thread and to the traffic threads.
--- a/tests/platform/timelimit_test.cpp
+++ b/tests/platform/timelimit_test.cpp
@@ -139,3 +139,19 @@
     close(connection);
     close(client);
 }
+
+// Guards against a searcher that is given the time for which the request waited in the socket of a busy host.
+Test(timelimit, excludesTheTimeUntilTheRequestIsRead, .timeout = 30)
+{
+    Host host(19911);
+    const TimePoint sentAt = Clock::now();
+    const int client = host.sendRequest();
+    usleep(1000000);
+    host.thread->start();
+    const int connection = accept(host.listening, nullptr, nullptr);
+    const Millis stated = readTimeLimit(connection);
+    const auto elapsed = std::chrono::duration_cast<Millis>(Clock::now() - sentAt);
+    cr_assert_leq((stated + elapsed).count(), (ClientLimit + Tolerance).count());
+    close(connection);
+    close(client);
+}
--- a/tests/routing/routingfixture.h
+++ b/tests/routing/routingfixture.h
@@ -113,14 +113,14 @@
         effects = std::move(collected);
     }
 
-    QueryId send(const std::string &target)
+    QueryId send(const std::string &target, Duration waited = Duration::zero())
     {
         RefPtr<ClientRequest> request(new ClientRequest);
         request->id = "r" + std::to_string(++lastRequest);
         request->method = "GET";
         request->host = "h";
         request->target = target;
-        apply(RequestArrived{QueryId{lastRequest}, request});
+        apply(RequestArrived{QueryId{lastRequest}, request, waited});
         return QueryId{lastRequest};
     }
 
--- a/tests/routing/single_test.cpp
+++ b/tests/routing/single_test.cpp
@@ -217,3 +217,16 @@
     cr_assert(fixture.state.routing.searchers.at("x") != before);
     cr_assert(fixture.state.routing.searchers.at("y") != nullptr);
 }
+
+// Guards against a request whose limit starts anew when a busy host reads it, and against one that is sent although its limit
+// has passed by then.
+Test(single, limitIncludesTheTimeUntilTheRequestWasRead)
+{
+    RoutingFixture fixture = oneService(true);
+    fixture.send("/one/", std::chrono::milliseconds(400));
+    const TimePoint deadline = fixture.last<ForwardRequest>().at(0).deadline;
+    cr_assert_leq((deadline - fixture.now).count(), Duration(std::chrono::milliseconds(600)).count());
+    fixture.send("/one/", std::chrono::milliseconds(1000));
+    cr_assert(fixture.last<ForwardRequest>().empty());
+    cr_assert(fixture.last<AnswerRequest>().at(0).answer.kind == ClientAnswerKind::Refused);
+}
