--- a/src/quetzallift/edge/bundlecodec.cpp
+++ b/src/quetzallift/edge/bundlecodec.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace Quetzallift
 {
--- a/src/quetzallift/edge/jsonfields.cpp
+++ b/src/quetzallift/edge/jsonfields.cpp
@@ -23,6 +23,28 @@
     return text.str();
 }
 
+// The greatest depth of brackets outside strings in a JSON text without comments.
+int bracketDepth(std::string_view text)
+{
+    int depth = 0;
+    int greatest = 0;
+    bool inString = false;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const char c = text[at];
+        if (inString) {
+            at += c == '\\' ? 1 : 0;
+            inString = c != '"';
+        } else if (c == '"') {
+            inString = true;
+        } else if (c == '[' || c == '{') {
+            greatest = std::max(greatest, ++depth);
+        } else if (c == ']' || c == '}') {
+            --depth;
+        }
+    }
+    return greatest;
+}
+
 using Milliseconds = std::chrono::duration<double, std::milli>;
 }
 
@@ -63,9 +85,12 @@
 
 const nlohmann::json *JsonFields::find(const std::string &name)
 {
-    m_readNames.insert(name);
     const auto found = m_object.find(name);
-    return found == m_object.end() ? nullptr : &*found;
+    if (found == m_object.end()) {
+        return nullptr;
+    }
+    m_read.push_back(&*found);
+    return &*found;
 }
 
 const nlohmann::json &JsonFields::require(const std::string &name, const std::string &allowed)
@@ -79,12 +104,12 @@
 
 std::string JsonFields::text(const std::string &name, std::size_t maximumLength)
 {
-    const std::string allowed = "a text of 1 to " + std::to_string(maximumLength) + " bytes";
-    const nlohmann::json &found = require(name, allowed);
-    if (!found.is_string() || found.get_ref<const std::string &>().empty() || found.get_ref<const std::string &>().size() > maximumLength) {
-        fail(name, allowed);
+    const nlohmann::json *found = find(name);
+    const std::string *value = found != nullptr ? found->get_ptr<const std::string *>() : nullptr;
+    if (value == nullptr || value->empty() || value->size() > maximumLength) {
+        fail(name, "a text of 1 to " + std::to_string(maximumLength) + " bytes");
     }
-    return found.get<std::string>();
+    return *value;
 }
 
 std::string JsonFields::text(const std::string &name, const std::string &fallback, std::size_t maximumLength)
@@ -117,30 +142,26 @@
 
 double JsonFields::number(const std::string &name, double minimum, double maximum, std::optional<double> fallback)
 {
-    const std::string allowed = rangeText("a number", minimum, maximum);
-    if (fallback && !has(name)) {
-        m_readNames.insert(name);
+    const nlohmann::json *found = find(name);
+    if (found == nullptr && fallback) {
         return *fallback;
     }
-    const nlohmann::json &found = require(name, allowed);
-    if (!found.is_number() || !(found.get<double>() >= minimum && found.get<double>() <= maximum)) {
-        fail(name, allowed);
+    if (found == nullptr || !found->is_number() || !(found->get<double>() >= minimum && found->get<double>() <= maximum)) {
+        fail(name, rangeText("a number", minimum, maximum));
     }
-    return found.get<double>();
+    return found->get<double>();
 }
 
 std::uint64_t JsonFields::integer(const std::string &name, std::uint64_t minimum, std::uint64_t maximum, std::optional<std::uint64_t> fallback)
 {
-    const std::string allowed = rangeText("an integer", minimum, maximum);
-    if (fallback && !has(name)) {
-        m_readNames.insert(name);
+    const nlohmann::json *found = find(name);
+    if (found == nullptr && fallback) {
         return *fallback;
     }
-    const nlohmann::json &found = require(name, allowed);
-    if (!found.is_number_unsigned() || found.get<std::uint64_t>() < minimum || found.get<std::uint64_t>() > maximum) {
-        fail(name, allowed);
+    if (found == nullptr || !found->is_number_unsigned() || found->get<std::uint64_t>() < minimum || found->get<std::uint64_t>() > maximum) {
+        fail(name, rangeText("an integer", minimum, maximum));
     }
-    return found.get<std::uint64_t>();
+    return found->get<std::uint64_t>();
 }
 
 bool JsonFields::flag(const std::string &name, bool fallback)
@@ -229,7 +250,7 @@
 void JsonFields::rejectUnknown() const
 {
     for (const auto &[name, value] : m_object.items()) {
-        if (!m_readNames.contains(name)) {
+        if (std::find(m_read.begin(), m_read.end(), &value) == m_read.end()) {
             throw Error(m_step, m_source, pathOf(name) + " is not a known field");
         }
     }
@@ -237,14 +258,16 @@
 
 nlohmann::json parseJson(const std::string &text, Step step, const std::string &source, bool comments)
 {
-    const auto limitDepth = [&](int depth, nlohmann::json::parse_event_t, nlohmann::json &) {
+    const nlohmann::json::parser_callback_t limitDepth = [&](int depth, nlohmann::json::parse_event_t, nlohmann::json &) {
         if (depth > MaximumDepth) {
             throw Error(step, source, "the JSON is nested deeper than " + std::to_string(MaximumDepth) + " levels");
         }
         return true;
     };
     try {
-        return nlohmann::json::parse(text, limitDepth, true, comments);
+        // The callback doubles the time to parse, and comments may hold brackets.
+        const bool mayBeTooDeep = comments || bracketDepth(text) > MaximumDepth;
+        return nlohmann::json::parse(text, mayBeTooDeep ? limitDepth : nullptr, true, comments);
     } catch (const nlohmann::json::exception &error) {
         throw Error(step, source, std::string("not valid JSON: ") + error.what());
     }
--- a/src/quetzallift/edge/jsonfields.h
+++ b/src/quetzallift/edge/jsonfields.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -65,7 +64,8 @@
     Step m_step;
     std::string m_source;
     std::string m_path;
-    std::set<std::string> m_readNames;
+    // The values of the fields that were read.
+    std::vector<const nlohmann::json *> m_read;
 };
 
 // Parses JSON, optionally with comments. Throws Error that names the source and the position of a syntax error.
