Obey the limit on requests that a searcher states

What callers and searchers saw: a searcher that states how many requests a second it takes went on getting its usual share.

Cause: the header was passed on to the client and not read. No part of the choice of a searcher knew a rate.

Change: the header is decoded once, in platform/, into ForwardReply::requestLimit; a value that is no finite number from 0 on, or that stands in two headers, is ignored. The reducer spaces this thread's requests to the searcher at the limit divided by the hosts and their threads. The choice of a searcher holds for first sends, queued parts, hedges and retries. A queued part is sent by a timer once the limit allows it. What the limits leave no room for in time is refused at once, with a Retry-After spread over the time until there is room. A reply without the header ends the limit; a limit of 0 still lets one request in 2 s through, since only a reply can end it.

--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -44,6 +44,7 @@
     };
     m_loop.state().routing.allowance = settings.host.reloadable.allowance;
     m_loop.state().routing.dataCentre = settings.host.dataCentre;
+    m_loop.state().routing.threads = settings.host.trafficThreads;
     m_loop.setEffectHandler([this](const Effect &effect) {
         carryOut(effect);
     });
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -52,6 +52,7 @@
     case TimerKind::RequestStragglerCheck:
     case TimerKind::DispatchTimeout:
     case TimerKind::OrphanLimit:
+    case TimerKind::PacedSend:
         handleRoutingTimer(context, event.timer);
         break;
     case TimerKind::SharesCheck:
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -32,6 +32,7 @@
     RequestStragglerCheck,
     DispatchTimeout,
     OrphanLimit,
+    PacedSend,
     ConfigurationRead,
     SearchersRead,
     SearcherExpiry,
--- a/src/quetzallift/model/forwardreply.h
+++ b/src/quetzallift/model/forwardreply.h
@@ -2,6 +2,7 @@
 
 #include "quetzallift/model/clientrequest.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,5 +28,7 @@
     // The searcher's signature of the reply; empty if there is none.
     std::string signature;
     std::string body;
+    // The requests a second that the searcher takes from all hosts together, if it limits them.
+    std::optional<double> requestLimit = {};
 };
 }
--- a/src/quetzallift/model/metric.h
+++ b/src/quetzallift/model/metric.h
@@ -32,6 +32,8 @@
     ShedSubRequests,
     // Sub-requests sent to another data centre; labelled by back end.
     FarSubRequests,
+    // Searchers that began to limit their requests; labelled by service.
+    SearcherLimits,
     // Searchers ejected; labelled by cause.
     Ejections,
     // Searchers that receive no new work because they are leaving; labelled by how the leaving was detected.
--- a/src/quetzallift/routing/accept.cpp
+++ b/src/quetzallift/routing/accept.cpp
@@ -3,6 +3,7 @@
 #include "quetzallift/routing/finishing.h"
 #include "quetzallift/routing/handlers.h"
 #include "quetzallift/routing/searcherchoice.h"
+#include "quetzallift/routing/searcherlimit.h"
 #include "quetzallift/routing/straggling.h"
 
 #include <algorithm>
@@ -68,13 +69,33 @@
     return {pickService(context, route)};
 }
 
-bool hasEnoughServices(const RoutingState &state, const Route &route, const std::vector<std::string> &names)
+// The earliest time at which as many of the services as the answer must cover may be sent a request.
+TimePoint earliestEnough(const ReduceContext &context, const Route &route, const std::vector<std::string> &names)
 {
-    const auto usable = std::count_if(names.begin(), names.end(), [&state](const std::string &name) {
+    const RoutingState &state = context.state.routing;
+    std::vector<TimePoint> times;
+    times.reserve(names.size());
+    for (const std::string &name : names) {
         const auto found = state.services.find(name);
-        return found != state.services.end() && hasUsableSearcher(found->second);
-    });
-    return static_cast<std::size_t>(usable) >= requiredParts(route);
+        times.push_back(found == state.services.end() ? TimePoint::max() : earliestSend(found->second, context.now));
+    }
+    const auto last = times.begin() + static_cast<std::ptrdiff_t>(requiredParts(route)) - 1;
+    std::nth_element(times.begin(), last, times.end());
+    return *last;
+}
+
+// The earliest time at which a request is refused, or a scattered request is answered, if searchers have not been sent
+// enough parts.
+Duration longestWaitForSend(const Route &route)
+{
+    return route.scattered() ? route.targetLatency : route.targetLatency / OfferLimitDivisor;
+}
+
+// Spreads the clients that are refused at the same time over twice the time until searchers can be sent requests again.
+Duration spreadRetryAfter(ReduceContext &context, Duration wait)
+{
+    constexpr std::uint64_t Steps = 1024;
+    return wait + wait * static_cast<Duration::rep>(context.state.hooks.random() % Steps) / static_cast<Duration::rep>(Steps);
 }
 
 // The latest time to answer the request.
@@ -141,10 +162,16 @@
     for (const std::string &name : names) {
         state.services[name].retryBudget.deposit(context.now);
     }
-    if (!hasEnoughServices(state, *route, names)) {
+    const TimePoint earliest = earliestEnough(context, *route, names);
+    if (earliest == TimePoint::max()) {
         answerUnadmitted(context, event.request, content, route, refusal(RetryAfterMissing, "too few services have a searcher"));
         return;
     }
+    if (earliest - context.now > longestWaitForSend(*route)) {
+        const Duration retryAfter = spreadRetryAfter(context, earliest - context.now);
+        answerUnadmitted(context, event.request, content, route, refusal(retryAfter, "too many searchers limit their requests"));
+        return;
+    }
     RunningRequest &request = addRequest(context, event, *route, names);
     startTimers(context, request);
     for (std::size_t part = 0; part < request.parts.size(); ++part) {
@@ -179,6 +206,10 @@
         cancelOrphan(context, AttemptId{timer.subject});
         return;
     }
+    if (timer.kind == TimerKind::PacedSend) {
+        sendPacedParts(context);
+        return;
+    }
     const auto found = context.state.routing.requests.find(QueryId{timer.subject});
     if (found == context.state.routing.requests.end()) {
         return;
--- a/src/quetzallift/routing/dispatch.cpp
+++ b/src/quetzallift/routing/dispatch.cpp
@@ -3,6 +3,7 @@
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/routing/searcherchoice.h"
 #include "quetzallift/routing/searcherhealth.h"
+#include "quetzallift/routing/searcherlimit.h"
 #include "quetzallift/routing/straggling.h"
 
 #include <algorithm>
@@ -32,6 +33,9 @@
     attempt.route = request.route->name;
     attempt.sentAt = context.now;
     searcher->inFlight.push_back(attempt);
+    if (searcher->pace) {
+        searcher->pace->take(context.now);
+    }
     part.tried.push_back(searcher->entry.id);
     part.inFlight.push_back(id);
     ++part.sends;
@@ -86,6 +90,7 @@
     }
     part.queued = true;
     service.queue.push_back({request.id, index});
+    schedulePacedSend(context, service);
     context.emit(CountMetric{Metric::QueuedSubRequests, part.service});
 }
 
@@ -149,6 +154,7 @@
         }
         const SearcherLoadPtr searcher = chooseSearcher(context, service, found->second.parts[next.part].tried);
         if (!searcher) {
+            schedulePacedSend(context, service);
             return;
         }
         service.queue.pop_front();
--- a/src/quetzallift/routing/replies.cpp
+++ b/src/quetzallift/routing/replies.cpp
@@ -3,6 +3,7 @@
 #include "quetzallift/routing/finishing.h"
 #include "quetzallift/routing/handlers.h"
 #include "quetzallift/routing/searcherhealth.h"
+#include "quetzallift/routing/searcherlimit.h"
 #include "quetzallift/routing/straggling.h"
 
 #include <utility>
@@ -46,6 +47,9 @@
 void recordReply(ReduceContext &context, const ForwardAttempt &attempt, const ForwardReply &reply)
 {
     SearcherLoad &searcher = *attempt.searcher;
+    if (reply.kind != ForwardReplyKind::WrongInstance) {
+        recordLimit(context, searcher, reply.requestLimit);
+    }
     switch (reply.kind) {
     case ForwardReplyKind::Success: {
         const Duration latency = context.now - attempt.sentAt;
--- a/src/quetzallift/routing/routingstate.h
+++ b/src/quetzallift/routing/routingstate.h
@@ -7,6 +7,7 @@
 #include "quetzallift/routing/serviceload.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -26,6 +27,10 @@
     SearcherTablePtr table;
     RouteTablePtr routes;
     unsigned hosts = 0;
+    // The traffic threads of this host.
+    unsigned threads = 1;
+    // The scheduled time at which queued parts are sent to searchers that limit their requests.
+    std::optional<TimePoint> pacedSendAt;
     std::uint64_t lastAttempt = 0;
     // `leaving` is true once this host leaves: connections are closed after their next answer. `stopping` is true once
     // the host admits no more requests.
--- a/src/quetzallift/routing/searcherchoice.cpp
+++ b/src/quetzallift/routing/searcherchoice.cpp
@@ -15,11 +15,6 @@
 // A searcher that has just started needs about twice the time for the same work.
 constexpr double ColdFactor = 2.0;
 
-bool mayReceiveRequests(const SearcherLoad &searcher)
-{
-    return !searcher.entry.draining && !searcher.addressReused;
-}
-
 Duration priorLatency(const ServiceLoad &service, TimePoint now)
 {
     return service.latency.hasSamples() ? service.latency.meanAt(now, UnknownLatency) : UnknownLatency;
@@ -56,13 +51,19 @@
 }
 }
 
+bool mayReceiveRequests(const SearcherLoad &searcher)
+{
+    return !searcher.entry.draining && !searcher.addressReused;
+}
+
 SearcherLoadPtr chooseSearcher(ReduceContext &context, const ServiceLoad &service, const std::vector<std::string> &tried)
 {
     std::vector<SearcherLoadPtr> usable;
     std::vector<SearcherLoadPtr> ejected;
     for (const SearcherLoadPtr &searcher : service.searchers) {
         const bool alreadyTried = std::find(tried.begin(), tried.end(), searcher->entry.id) != tried.end();
-        if (alreadyTried || !mayReceiveRequests(*searcher) || !hasFreeConnection(service, *searcher)) {
+        const bool paced = searcher->pace && !searcher->pace->allows(context.now);
+        if (alreadyTried || paced || !mayReceiveRequests(*searcher) || !hasFreeConnection(service, *searcher)) {
             continue;
         }
         (context.now < searcher->ejectedUntil ? ejected : usable).push_back(searcher);
@@ -79,13 +80,6 @@
     return chosen[context.state.hooks.chooseReplica(candidates, context.state.hooks.random)];
 }
 
-bool hasUsableSearcher(const ServiceLoad &service)
-{
-    return std::any_of(service.searchers.begin(), service.searchers.end(), [](const SearcherLoadPtr &searcher) {
-        return mayReceiveRequests(*searcher);
-    });
-}
-
 Duration stragglerDelay(const ReduceContext &context, const ServiceLoad &service, const SearcherLoad &searcher)
 {
     const Duration prior = priorLatency(service, context.now);
--- a/src/quetzallift/routing/searcherload.h
+++ b/src/quetzallift/routing/searcherload.h
@@ -4,11 +4,14 @@
 #include "quetzallift/model/searchertable.h"
 #include "quetzallift/query/agedmean.h"
 #include "quetzallift/routing/latencyaverage.h"
+#include "quetzallift/routing/requestpace.h"
 
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <optional>
+
 namespace Quetzallift
 {
 struct SearcherLoad;
@@ -48,5 +51,7 @@
     unsigned consecutiveEjections = 0;
     // True once a process at the address replied that it is not this searcher.
     bool addressReused = false;
+    // Set while the searcher limits its requests.
+    std::optional<RequestPace> pace;
 };
 }
--- a/tests/platform/clientprotocol_test.cpp
+++ b/tests/platform/clientprotocol_test.cpp
@@ -72,3 +72,15 @@
                      "POST /a%2F/?q=1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 150\r\nExpect-Instance: i-1\r\nX-End: "
                      "2\r\nContent-Length: 2\r\n\r\nxy");
 }
+
+// Guards against a limit that is missed, and against one that is no usable number and stops all requests or ends the process.
+Test(clientprotocol, unusableLimitsAreIgnored)
+{
+    cr_assert(read(200, {{"server-limit", " 12.5 "}}).requestLimit == 12.5);
+    cr_assert(read(503, {{"Server-Limit", "0"}}).requestLimit == 0.0);
+    cr_assert_not(read(200, {}).requestLimit.has_value());
+    for (const char *value : {"", "x", "-1", "1x", "inf", "nan", "1e999", "1,2"}) {
+        cr_assert_not(read(200, {{"Server-Limit", value}}).requestLimit.has_value(), "%s", value);
+    }
+    cr_assert_not(read(200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}).requestLimit.has_value());
+}
