--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -89,6 +89,43 @@
     cr_assert(searcher.coldFor == std::chrono::milliseconds(1500));
 }
 
+// Guards against one odd entry that makes the whole list or all changes unreadable: hosts stopped following the searchers, or
+// ended.
+Test(storecodec, oddEntriesLeaveTheOthers)
+{
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    const std::string withDepth = R"({"service":)" + deep + R"(,"address":"10.0.0.1:80","zone":"a","slots":2,"state":"ready"})";
+    const auto withSlots = [](const std::string &slots) {
+        return R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","slots":)" + slots + "}";
+    };
+    const auto withAddress = [](const std::string &address) {
+        return R"({"service":"s","zone":"a","state":"ready","slots":2,"address":")" + address + R"("})";
+    };
+    for (const std::string &odd : {withDepth,
+                                   withSlots("1e999"),
+                                   withSlots("-1e999"),
+                                   withSlots("123456789012345678901234567890"),
+                                   withSlots(std::string(1000, '9')),
+                                   withAddress("10.0.0.1:65536"),
+                                   withAddress("10.0.0.1:99999999999999999999"),
+                                   withAddress("10.0.0.1:-1"),
+                                   withAddress("\xff\xfe"),
+                                   deep,
+                                   std::string("null")}) {
+        const std::string items = object("i-1", Ready) + "," + object("i-2", odd) + "," + object("i-3", Ready);
+        const PlatformReply list = decode(PlatformVerb::ListSearchers, responded(200, R"({"items":[)" + items + R"(],"has-more":false,"as-of":9})"));
+        cr_assert(list.outcome == PlatformOutcome::Applied, "%.200s", list.detail.c_str());
+        const auto &page = std::get<SearcherPage>(list.value);
+        cr_assert_eq(page.entries.size(), 2U);
+        cr_assert(page.removed == std::vector<std::string>{"i-2"});
+        const std::string events = R"({"deleted":false,"object":)" + object("i-2", odd) + R"(},{"deleted":false,"object":)" + object("i-3", Ready) + "}";
+        const PlatformReply changes = decode(PlatformVerb::WatchSearchers, responded(200, R"({"events":[)" + events + R"(],"as-of":12})"));
+        cr_assert(changes.outcome == PlatformOutcome::Applied);
+        cr_assert_eq(std::get<SearcherPage>(changes.value).entries.size(), 1U);
+        cr_assert(std::get<SearcherPage>(changes.value).removed == std::vector<std::string>{"i-2"});
+    }
+}
+
 // Guards against a searcher that stays in use although its entry turned into one that cannot be read.
 Test(storecodec, lastEventOfANameDecides)
 {
