Treat a response that ends within its head as incomplete in HttpClient

What operators of other systems saw: a searcher stopped in the middle of its answer's head, and clients got a 200 with an empty body.

Here: connections to searchers under routes are not affected, responsereader/truncatedResponseIsInvalid cuts a response at every byte. libcurl, which carries the platform's store and searchers under bundles, reports a response as complete when the connection ends after at least one line of its head.

Change: HttpClient notes the empty line after the headers, and reports a connection that ends before it as reset.

Evidence: httpclient/responseCutInItsHeadIsIncomplete cuts a response at each of 48 bytes of its head; it failed before at byte 17, the end of the status line, and passes now. httpclient/endlessBytesEndTheTransfer shows that libcurl and the limit on the body end heads and bodies without end; it passed before, too.

--- a/src/quetzallift/edge/httpclient.cpp
+++ b/src/quetzallift/edge/httpclient.cpp
@@ -28,6 +28,8 @@
     HttpRequest request;
     HttpResult result;
     HttpClient::Completion completion;
+    // True once the empty line after the headers arrived. libcurl reports a response that breaks off before it as complete.
+    bool headComplete = false;
     char errorText[CURL_ERROR_SIZE] = {};
 };
 
@@ -41,11 +43,13 @@
     return size * count;
 }
 
-// Stores the value of the ETag header.
+// Stores the value of the ETag header, and notes the end of the headers. libcurl passes whole lines, those of interim
+// responses too.
 std::size_t readHeader(char *data, std::size_t size, std::size_t count, void *context)
 {
     constexpr std::string_view Name = "etag:";
     const std::string_view line(data, size * count);
+    static_cast<Transfer *>(context)->headComplete = line == "\r\n" || line == "\n";
     const bool isEtag = line.size() > Name.size() && std::equal(Name.begin(), Name.end(), line.begin(), [](char expected, char actual) {
                             return expected == std::tolower(static_cast<unsigned char>(actual));
                         });
@@ -279,12 +283,14 @@
         Transfer *transfer = nullptr;
         curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
         HttpResult &result = transfer->result;
-        result.outcome = outcomeOf(code);
+        result.outcome = code == CURLE_OK && !transfer->headComplete ? HttpOutcome::Reset : outcomeOf(code);
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &result.status);
         long requestSize = 0;
         curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &requestSize);
         result.sent = requestSize > 0;
-        if (code != CURLE_OK) {
+        if (code == CURLE_OK && !transfer->headComplete) {
+            result.error = "the connection ended within the headers of the response";
+        } else if (code != CURLE_OK) {
             result.error = transfer->errorText[0] != '\0' ? transfer->errorText : curl_easy_strerror(code);
         }
         const std::unique_ptr<Transfer> done = remove(m_transfers.find(transfer->id));
