Limit the interim responses of a searcher

Bytes that are no answer may come without end until the caller closes. Heads, chunk heads, trailers and bodies without end were rejected already; interim responses (1xx) were each parsed and dropped without a limit, and kept the attempt and its connection busy until the deadline.

Change: more than 8 interim responses are an invalid response.

Evidence: responsereader/endlessBytesAreInvalid plays 8 kinds of endless bytes.

--- a/src/quetzallift/edge/responsereader.cpp
+++ b/src/quetzallift/edge/responsereader.cpp
@@ -12,6 +12,8 @@
 // A part of an answer is a few kilobytes; only a faulty peer sends a larger body.
 constexpr std::size_t MaximumBodySize = std::size_t{8} * 1024 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
+// Interim responses beyond this number come from a faulty peer, which may send them without end.
+constexpr unsigned MaximumInterimResponses = 8;
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
@@ -42,6 +44,7 @@
     m_complete = false;
     m_persistent = false;
     m_surplus = false;
+    m_interimResponses = 0;
 }
 
 ResponseReader::State ResponseReader::state()
@@ -159,7 +162,7 @@
         // An interim response; the final one follows.
         self.m_response = {};
         self.m_hasHeaderValue = false;
-        return 0;
+        return ++self.m_interimResponses > MaximumInterimResponses ? 1 : 0;
     }
     self.m_complete = true;
     self.m_persistent = http_should_keep_alive(parser) != 0;
--- a/src/quetzallift/edge/responsereader.h
+++ b/src/quetzallift/edge/responsereader.h
@@ -75,5 +75,6 @@
     bool m_complete = false;
     bool m_persistent = false;
     bool m_surplus = false;
+    unsigned m_interimResponses = 0;
 };
 }
--- a/tests/edge/responsereader_test.cpp
+++ b/tests/edge/responsereader_test.cpp
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace Quetzallift;
 
@@ -59,3 +61,31 @@
     cr_assert(reader.consume(std::string("HTTP/1.1 100 Continue\r\n\r\n") + Whole) == ResponseReader::State::Complete);
     cr_assert_eq(reader.release().status, 200U);
 }
+
+// Guards against a searcher whose bytes never end and that keeps its attempt or fills the memory of the host.
+Test(responsereader, endlessBytesAreInvalid)
+{
+    const std::string filler(4096, 'x');
+    const std::vector<std::pair<std::string, std::string>> endless = {
+        {"HTTP/1.1 200 OK\r\n", "X-" + filler + ": " + filler + "\r\n"},
+        {"HTTP/1.1 200 OK\r\nX-Long: ", filler},
+        {"HTTP/1.1 200 ", filler},
+        {"HTTP/1.1 200 OK\r\n\r\n", filler},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + filler + "\r\n"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", filler},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-" + filler + ": y\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+    };
+    constexpr std::size_t MaximumBytes = std::size_t{16} * 1024 * 1024;
+    for (const auto &[head, repeated] : endless) {
+        ResponseReader reader;
+        reader.consume(head);
+        std::size_t bytes = 0;
+        ResponseReader::State state = ResponseReader::State::Reading;
+        while (state == ResponseReader::State::Reading && bytes < MaximumBytes) {
+            state = reader.consume(repeated);
+            bytes += repeated.size();
+        }
+        cr_assert(state == ResponseReader::State::Invalid, "%.30s, then %.30s", head.c_str(), repeated.c_str());
+    }
+}
