Limit the memory of incomplete responses together

Bytes that are no answer may come without end in a body until the caller closes. One response was limited to 8 MiB; a scattered request over 90 shards could so hold 720 MiB on a host with 160 MB, and the process would have ended.

Change: all incomplete responses of a thread share 20 MiB. Beyond that a response larger than 64 KiB fails; ordinary ones go on.

Evidence: upstreamclient/largeResponsesTogetherAreLimited sends 7 MiB of 100 to each of 8 attempts and stops.

--- a/src/quetzallift/edge/upstreamclient.cpp
+++ b/src/quetzallift/edge/upstreamclient.cpp
@@ -82,7 +82,7 @@
     hooks.closed = [this](UpstreamConnection &connection) {
         retire(connection);
     };
-    return *new UpstreamConnection(m_loop.reactor(), request.searcher, request.address, std::move(hooks));
+    return *new UpstreamConnection(m_loop.reactor(), m_buffers, request.searcher, request.address, std::move(hooks));
 }
 
 void UpstreamClient::handleReply(UpstreamConnection &connection, UpstreamResponse response)
--- a/src/quetzallift/edge/upstreamclient.h
+++ b/src/quetzallift/edge/upstreamclient.h
@@ -69,6 +69,7 @@
 
     EventLoop &m_loop;
     Hooks m_hooks;
+    ResponseBuffers m_buffers;
     std::unordered_map<std::string, Connections> m_idle;
     std::unordered_map<AttemptId, UpstreamConnection *> m_busy;
     // Closed connections, to be deleted later: the reactor may be inside a call of their member functions.
--- a/src/quetzallift/edge/upstreamconnection.cpp
+++ b/src/quetzallift/edge/upstreamconnection.cpp
@@ -41,11 +41,12 @@
 }
 }
 
-UpstreamConnection::UpstreamConnection(ACE_Reactor &reactor, std::string searcher, std::string address, Hooks hooks)
+UpstreamConnection::UpstreamConnection(ACE_Reactor &reactor, ResponseBuffers &buffers, std::string searcher, std::string address, Hooks hooks)
     : m_reactor(reactor)
     , m_searcher(std::move(searcher))
     , m_address(std::move(address))
     , m_hooks(std::move(hooks))
+    , m_buffered(buffers)
 { }
 
 UpstreamConnection::~UpstreamConnection()
@@ -94,6 +95,7 @@
 
 void UpstreamConnection::closeSocket()
 {
+    m_buffered.release();
     if (m_handle != ACE_INVALID_HANDLE) {
         m_reactor.remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
         close(m_handle);
@@ -196,6 +198,9 @@
     }
     switch (m_reader.consume({buffer.data(), static_cast<std::size_t>(size)})) {
     case ResponseReader::State::Reading:
+        if (!m_buffered.add(static_cast<std::size_t>(size))) {
+            fail(FailureKind::BadReply, "the response is large, and the host holds too many bytes of responses");
+        }
         break;
     case ResponseReader::State::Complete:
         finish();
@@ -220,6 +225,7 @@
 void UpstreamConnection::finish()
 {
     m_busy = false;
+    m_buffered.release();
     // A searcher that responded early still expects the rest of this request and would read another one as part of it.
     m_persistent = m_persistent && m_reader.isPersistent() && m_written == m_output.size();
     if (const auto idleTimeout = m_reader.keepAliveTimeout()) {
--- a/src/quetzallift/edge/upstreamconnection.h
+++ b/src/quetzallift/edge/upstreamconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/edge/responsebuffers.h"
 #include "quetzallift/edge/responsereader.h"
 #include "quetzallift/model/failure.h"
 #include "quetzallift/model/ids.h"
@@ -35,7 +36,8 @@
         std::function<void(UpstreamConnection &)> closed;
     };
 
-    UpstreamConnection(ACE_Reactor &reactor, std::string searcher, std::string address, Hooks hooks);
+    // The response that arrives is counted in the buffers, which must outlive the connection.
+    UpstreamConnection(ACE_Reactor &reactor, ResponseBuffers &buffers, std::string searcher, std::string address, Hooks hooks);
     ~UpstreamConnection() override;
     UpstreamConnection(const UpstreamConnection &) = delete;
     UpstreamConnection &operator=(const UpstreamConnection &) = delete;
@@ -87,5 +89,6 @@
     // No request may be sent after this time, since the searcher is about to close the connection.
     TimePoint m_usableUntil = TimePoint::max();
     ResponseReader m_reader;
+    ResponseBuffers::Reservation m_buffered;
 };
 }
--- a/tests/edge/upstreamclient_test.cpp
+++ b/tests/edge/upstreamclient_test.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 #include <thread>
 #include <vector>
@@ -152,3 +153,71 @@
     loop.run();
     cr_assert_not(sentAnything);
 }
+
+// Guards against searchers that send much of a response and stop, and together fill the memory of the host, and against
+// ordinary responses that fail for it.
+Test(upstreamclient, largeResponsesTogetherAreLimited, .timeout = 60)
+{
+    constexpr std::uint64_t Attempts = 8;
+    const int listening = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(listening, reinterpret_cast<sockaddr *>(&address), size);
+    listen(listening, Attempts + 1);
+    getsockname(listening, reinterpret_cast<sockaddr *>(&address), &size);
+    // Sends 7 MiB of 100 to each attempt and keeps the connections open, then a small response to the last one.
+    std::thread peer([listening] {
+        std::vector<int> connections;
+        for (std::uint64_t number = 0; number <= Attempts; ++number) {
+            const int connection = accept(listening, nullptr, nullptr);
+            connections.push_back(connection);
+            std::string text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(number < Attempts ? 104857600 : 3) + "\r\n\r\n";
+            text += number < Attempts ? std::string(7U * 1024U * 1024U, 'x') : "abc";
+            for (std::size_t at = 0; at < text.size();) {
+                const ssize_t sent = ::send(connection, text.data() + at, text.size() - at, MSG_NOSIGNAL);
+                if (sent <= 0) {
+                    break;
+                }
+                at += static_cast<std::size_t>(sent);
+            }
+        }
+        for (const int connection : connections) {
+            close(connection);
+        }
+    });
+    EventLoop loop;
+    std::vector<FailureKind> failures;
+    std::string body;
+    UpstreamClient *client = nullptr;
+    const auto send = [&](std::uint64_t attempt) {
+        client->send({AttemptId{attempt}, "s", "127.0.0.1:" + std::to_string(ntohs(address.sin_port)), [] {
+                          return "GET / HTTP/1.1\r\n\r\n";
+                      }});
+    };
+    UpstreamClient::Hooks hooks;
+    hooks.matchesRequest = [](AttemptId, const UpstreamResponse &) {
+        return true;
+    };
+    hooks.opened = [](const std::string &) {
+    };
+    hooks.failed = [&](AttemptId, const Failure &failure, bool) {
+        failures.push_back(failure.kind);
+    };
+    hooks.replied = [&](AttemptId, const UpstreamResponse &response) {
+        body = response.body;
+        loop.stop();
+    };
+    UpstreamClient owned(loop, hooks);
+    client = &owned;
+    for (std::uint64_t attempt = 1; attempt <= Attempts + 1; ++attempt) {
+        send(attempt);
+    }
+    loop.run();
+    peer.join();
+    close(listening);
+    const auto limited = std::count(failures.begin(), failures.end(), FailureKind::BadReply);
+    cr_assert_geq(limited, 5, "%zd of 8 attempts failed", static_cast<ssize_t>(limited));
+    cr_assert_str_eq(body.c_str(), "abc");
+}
