State the time that is left of queries once their connection is established

Change: the body is encoded again in libcurl's callback before a request is sent, and padded with spaces to its first size.

--- a/src/quetzallift/edge/httpclient.cpp
+++ b/src/quetzallift/edge/httpclient.cpp
@@ -63,6 +63,21 @@
     return size * count;
 }
 
+// Called by libcurl once the connection is established, before the request is sent.
+int onConnected(void *context, char *, char *, int, int)
+{
+    HttpRequest &request = static_cast<Transfer *>(context)->request;
+    if (request.encodeBody) {
+        std::string body = request.encodeBody();
+        if (body.size() <= request.body.size()) {
+            body.resize(request.body.size(), ' ');
+            // In place, since libcurl holds the address.
+            std::copy(body.begin(), body.end(), request.body.begin());
+        }
+    }
+    return CURL_PREREQFUNC_OK;
+}
+
 HttpOutcome outcomeOf(CURLcode code)
 {
     switch (code) {
@@ -95,6 +110,8 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
     curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer.errorText);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onConnected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &readHeader);
--- a/src/quetzallift/edge/searcherclient.cpp
+++ b/src/quetzallift/edge/searcherclient.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 constexpr long StatusOk = 200;
+// Room for a time limit with more digits than the one that is encoded first.
+constexpr std::size_t TimeDigits = 20;
 
 FailureKind failureOf(HttpOutcome outcome)
 {
@@ -37,7 +39,10 @@
     HttpRequest request;
     request.method = "POST";
     request.url = "http://" + effect.searcher + "/v1/search";
-    request.body = encodeSubRequest(effect.request, effect.attempt, now);
+    request.encodeBody = [subRequest = effect.request, attempt = effect.attempt] {
+        return encodeSubRequest(subRequest, attempt, Clock::now());
+    };
+    request.body = request.encodeBody() + std::string(TimeDigits, ' ');
     request.headers = {"Content-Type: application/json"};
     request.timeout = effect.request.deadline - now;
     request.closeAfter = effect.closeAfter;
--- a/tests/edge/httpclient_test.cpp
+++ b/tests/edge/httpclient_test.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 #include <thread>
 
@@ -52,12 +53,19 @@
         return m_url;
     }
 
+    // Only valid once the response has arrived.
+    const std::string &received() const
+    {
+        return m_received;
+    }
+
 private:
     void serve()
     {
         const int connection = accept(m_listen, nullptr, nullptr);
         char buffer[1024];
-        recv(connection, buffer, sizeof(buffer), 0);
+        const ssize_t size = recv(connection, buffer, sizeof(buffer), 0);
+        m_received.assign(buffer, static_cast<std::size_t>(std::max<ssize_t>(0, size)));
         bool open = ::send(connection, m_bytes.data(), m_bytes.size(), MSG_NOSIGNAL) > 0;
         while (open && !m_repeated.empty()) {
             open = ::send(connection, m_repeated.data(), m_repeated.size(), MSG_NOSIGNAL) > 0;
@@ -69,6 +77,7 @@
     std::string m_bytes;
     std::string m_repeated;
     std::string m_url;
+    std::string m_received;
     std::thread m_thread;
 };
 
@@ -111,3 +120,30 @@
     cr_assert(outcomeOf("HTTP/1.1 200 OK\r\n\r\n", filler) == HttpOutcome::Reset);
     cr_assert(outcomeOf("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n") == HttpOutcome::Reset);
 }
+
+// Guards against a searcher that is given the time which passed while the connection to it was opened.
+Test(httpclient, bodyIsEncodedOnceTheConnectionIsEstablished, .timeout = 30)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    const RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", {});
+    EventLoop loop;
+    HttpClient client(loop);
+    HttpRequest request;
+    request.method = "POST";
+    request.url = server.url();
+    request.timeout = std::chrono::seconds(20);
+    request.body = "900";
+    std::string timeLeft = "850";
+    request.encodeBody = [&timeLeft] {
+        return timeLeft;
+    };
+    HttpOutcome outcome = HttpOutcome::TimedOut;
+    client.send(std::move(request), [&](const HttpResult &result) {
+        outcome = result.outcome;
+        loop.stop();
+    });
+    timeLeft = "70";
+    loop.run();
+    cr_assert(outcome == HttpOutcome::Responded);
+    cr_assert(server.received().ends_with("\r\n\r\n70 "), "%s", server.received().c_str());
+}
