--- a/src/quetzallift/edge/searcherclient.cpp
+++ b/src/quetzallift/edge/searcherclient.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 constexpr long StatusOk = 200;
-// Room for a time limit with more digits than the one that is encoded first.
+// Space in a body for a time limit with more digits than the one that is encoded first.
 constexpr std::size_t TimeDigits = 20;
 
 FailureKind failureOf(HttpOutcome outcome)
--- a/src/quetzallift/routing/accept.cpp
+++ b/src/quetzallift/routing/accept.cpp
@@ -84,8 +84,8 @@
     return *last;
 }
 
-// The earliest time at which a request is refused, or a scattered request is answered, if searchers have not been sent
-// enough parts.
+// How long the limits of searchers may delay a request: one that is not sent by then is refused in any case, and a scattered
+// request is answered at its latency target.
 Duration longestWaitForSend(const Route &route)
 {
     return route.scattered() ? route.targetLatency : route.targetLatency / OfferLimitDivisor;
