Obey what a searcher states about leaving or refusing in its replies

Change: SearcherStatement holds the three statements of a reply (limit, refusal, departure), decoded once in platform/, and recordStatement applies them to the searcher's run, also from replies that came too late for their request. A searcher that is leaving gets no more requests, whatever the list says, until it starts again. One that refuses gets none for its time, at most 60 s, and then one at a time until it replies with success. If all searchers of a service refuse, a request is refused at once, with a Retry-After spread over as long again as the refusals last.

--- a/src/quetzallift/app/metrics.cpp
+++ b/src/quetzallift/app/metrics.cpp
@@ -36,6 +36,7 @@
         {Metric::ShedSubRequests, {"quetzallift_shed_sub_requests_total", "back_end", "Sub-requests that searchers shed"}},
         {Metric::FarSubRequests, {"quetzallift_far_sub_requests_total", "back_end", "Sub-requests sent to another data centre"}},
         {Metric::SearcherLimits, {"quetzallift_searcher_limits_total", "back_end", "Searchers that began to limit their requests"}},
+        {Metric::SearcherRefusals, {"quetzallift_searcher_refusals_total", "back_end", "Searchers that began to refuse requests for some time"}},
         {Metric::Ejections, {"quetzallift_ejections_total", "cause", "Searchers ejected"}},
         {Metric::SearchersDraining, {"quetzallift_searchers_draining_total", "sign", "Searchers that get no new work because they leave"}},
         {Metric::SearchersBack, {"quetzallift_searchers_back_total", "back_end", "Draining searchers that are used again"}},
--- a/src/quetzallift/model/forwardreply.h
+++ b/src/quetzallift/model/forwardreply.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "quetzallift/model/clientrequest.h"
+#include "quetzallift/model/searcherstatement.h"
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,7 +28,6 @@
     // The searcher's signature of the reply; empty if there is none.
     std::string signature;
     std::string body;
-    // The requests a second that the searcher takes from all hosts together, if it limits them.
-    std::optional<double> requestLimit = {};
+    SearcherStatement statement = {};
 };
 }
--- a/src/quetzallift/model/metric.h
+++ b/src/quetzallift/model/metric.h
@@ -34,6 +34,8 @@
     FarSubRequests,
     // Searchers that began to limit their requests; labelled by service.
     SearcherLimits,
+    // Searchers that began to refuse requests for some time; labelled by service.
+    SearcherRefusals,
     // Searchers ejected; labelled by cause.
     Ejections,
     // Searchers that receive no new work because they are leaving; labelled by how the leaving was detected.
--- a/src/quetzallift/routing/accept.cpp
+++ b/src/quetzallift/routing/accept.cpp
@@ -3,7 +3,7 @@
 #include "quetzallift/routing/finishing.h"
 #include "quetzallift/routing/handlers.h"
 #include "quetzallift/routing/searcherchoice.h"
-#include "quetzallift/routing/searcherlimit.h"
+#include "quetzallift/routing/searcherstatements.h"
 #include "quetzallift/routing/straggling.h"
 
 #include <algorithm>
@@ -169,7 +169,7 @@
     }
     if (earliest - context.now > longestWaitForSend(*route)) {
         const Duration retryAfter = spreadRetryAfter(context, earliest - context.now);
-        answerUnadmitted(context, event.request, content, route, refusal(retryAfter, "too many searchers limit their requests"));
+        answerUnadmitted(context, event.request, content, route, refusal(retryAfter, "too many searchers limit or refuse requests"));
         return;
     }
     RunningRequest &request = addRequest(context, event, *route, names);
--- a/src/quetzallift/routing/dispatch.cpp
+++ b/src/quetzallift/routing/dispatch.cpp
@@ -3,7 +3,7 @@
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/routing/searcherchoice.h"
 #include "quetzallift/routing/searcherhealth.h"
-#include "quetzallift/routing/searcherlimit.h"
+#include "quetzallift/routing/searcherstatements.h"
 #include "quetzallift/routing/straggling.h"
 
 #include <algorithm>
--- a/src/quetzallift/routing/replies.cpp
+++ b/src/quetzallift/routing/replies.cpp
@@ -3,7 +3,7 @@
 #include "quetzallift/routing/finishing.h"
 #include "quetzallift/routing/handlers.h"
 #include "quetzallift/routing/searcherhealth.h"
-#include "quetzallift/routing/searcherlimit.h"
+#include "quetzallift/routing/searcherstatements.h"
 #include "quetzallift/routing/straggling.h"
 
 #include <utility>
@@ -48,7 +48,7 @@
 {
     SearcherLoad &searcher = *attempt.searcher;
     if (reply.kind != ForwardReplyKind::WrongInstance) {
-        recordLimit(context, searcher, reply.requestLimit);
+        recordStatement(context, searcher, reply.statement);
     }
     switch (reply.kind) {
     case ForwardReplyKind::Success: {
--- a/src/quetzallift/routing/requestpace.cpp
+++ b/src/quetzallift/routing/requestpace.cpp
@@ -29,15 +29,10 @@
     return std::min(limit, m_saved + m_rate * Seconds(now - m_updatedAt).count());
 }
 
-bool RequestPace::allows(TimePoint now) const
-{
-    return savedAt(now) >= 1.0 - RoundingError;
-}
-
 TimePoint RequestPace::nextAt(TimePoint now, double before) const
 {
-    const double missing = std::max(0.0, 1.0 + before - savedAt(now));
-    return now + std::chrono::ceil<Duration>(Seconds(missing / m_rate));
+    const double missing = 1.0 + before - savedAt(now);
+    return missing <= RoundingError ? now : now + std::chrono::ceil<Duration>(Seconds(missing / m_rate));
 }
 
 void RequestPace::take(TimePoint now)
--- a/src/quetzallift/routing/requestpace.h
+++ b/src/quetzallift/routing/requestpace.h
@@ -12,9 +12,6 @@
     // saved at the beginning: hosts that learn of a limit at the same time must not all send at once.
     void setRate(double perSecond, double saved, TimePoint now);
 
-    // True if a request may be sent now.
-    bool allows(TimePoint now) const;
-
     // The earliest time at which a request may be sent after the given number of others; `now` if it may be sent already.
     TimePoint nextAt(TimePoint now, double before = 0.0) const;
 
--- a/src/quetzallift/routing/searcherchoice.cpp
+++ b/src/quetzallift/routing/searcherchoice.cpp
@@ -1,6 +1,7 @@
 #include "quetzallift/routing/searcherchoice.h"
 
 #include "quetzallift/core/reducecontext.h"
+#include "quetzallift/routing/searcherstatements.h"
 
 #include <algorithm>
 
@@ -20,11 +21,11 @@
     return service.latency.hasSamples() ? service.latency.meanAt(now, UnknownLatency) : UnknownLatency;
 }
 
-// After an ejection a searcher gets one attempt at a time until it replies with success, also once the ejection time is
-// over.
+// After an ejection or a refusal a searcher gets one attempt at a time until it replies with success, also once the time of
+// the ejection or refusal is over.
 bool hasFreeConnection(const ServiceLoad &service, const SearcherLoad &searcher)
 {
-    const std::size_t limit = searcher.consecutiveEjections > 0 ? 1 : service.connections;
+    const std::size_t limit = searcher.consecutiveEjections > 0 || searcher.returning ? 1 : service.connections;
     return searcher.inFlight.size() < limit;
 }
 
@@ -53,7 +54,7 @@
 
 bool mayReceiveRequests(const SearcherLoad &searcher)
 {
-    return !searcher.entry.draining && !searcher.addressReused;
+    return !searcher.entry.draining && !searcher.leaving && !searcher.addressReused;
 }
 
 SearcherLoadPtr chooseSearcher(ReduceContext &context, const ServiceLoad &service, const std::vector<std::string> &tried)
@@ -62,8 +63,8 @@
     std::vector<SearcherLoadPtr> ejected;
     for (const SearcherLoadPtr &searcher : service.searchers) {
         const bool alreadyTried = std::find(tried.begin(), tried.end(), searcher->entry.id) != tried.end();
-        const bool paced = searcher->pace && !searcher->pace->allows(context.now);
-        if (alreadyTried || paced || !mayReceiveRequests(*searcher) || !hasFreeConnection(service, *searcher)) {
+        const bool held = nextSend(*searcher, context.now) > context.now;
+        if (alreadyTried || held || !mayReceiveRequests(*searcher) || !hasFreeConnection(service, *searcher)) {
             continue;
         }
         (context.now < searcher->ejectedUntil ? ejected : usable).push_back(searcher);
--- a/src/quetzallift/routing/searcherhealth.cpp
+++ b/src/quetzallift/routing/searcherhealth.cpp
@@ -42,6 +42,7 @@
     searcher.errors.add(0.0, context.now);
     searcher.lastReplyAt = context.now;
     searcher.consecutiveFailures = 0;
+    searcher.returning = false;
     if (searcher.consecutiveEjections > 0) {
         searcher.consecutiveEjections = 0;
         searcher.ejectedUntil = {};
--- a/src/quetzallift/routing/searcherload.h
+++ b/src/quetzallift/routing/searcherload.h
@@ -51,6 +51,11 @@
     unsigned consecutiveEjections = 0;
     // True once a process at the address replied that it is not this searcher.
     bool addressReused = false;
+    // True once the searcher stated that it is leaving.
+    bool leaving = false;
+    // Until this time the searcher takes no request from this host. It is `returning` from its refusal until its next success.
+    TimePoint refusesUntil;
+    bool returning = false;
     // Set while the searcher limits its requests.
     std::optional<RequestPace> pace;
 };
--- a/tests/platform/clientprotocol_test.cpp
+++ b/tests/platform/clientprotocol_test.cpp
@@ -76,11 +76,28 @@
 // Guards against a limit that is missed, and against one that is no usable number and stops all requests or ends the process.
 Test(clientprotocol, unusableLimitsAreIgnored)
 {
-    cr_assert(read(200, {{"server-limit", " 12.5 "}}).requestLimit == 12.5);
-    cr_assert(read(503, {{"Server-Limit", "0"}}).requestLimit == 0.0);
-    cr_assert_not(read(200, {}).requestLimit.has_value());
+    cr_assert(read(200, {{"server-limit", " 12.5 "}}).statement.requestLimit == 12.5);
+    cr_assert(read(503, {{"Server-Limit", "0"}}).statement.requestLimit == 0.0);
+    cr_assert_not(read(200, {}).statement.requestLimit.has_value());
     for (const char *value : {"", "x", "-1", "1x", "inf", "nan", "1e999", "1,2"}) {
-        cr_assert_not(read(200, {{"Server-Limit", value}}).requestLimit.has_value(), "%s", value);
+        cr_assert_not(read(200, {{"Server-Limit", value}}).statement.requestLimit.has_value(), "%s", value);
     }
-    cr_assert_not(read(200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}).requestLimit.has_value());
+    cr_assert_not(read(200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}).statement.requestLimit.has_value());
+}
+
+// Guards against a refusal or a departure that is missed, and against a time that blocks a searcher for good.
+Test(clientprotocol, refusalsAndDeparturesAreRead)
+{
+    const auto refusal = [](unsigned status, const char *value) {
+        return read(status, {{"Not-Executed", "1"}, {"retry-after", value}}).statement.refusesFor;
+    };
+    cr_assert(refusal(503, "1.5") == std::chrono::milliseconds(1500));
+    cr_assert_not(refusal(200, "1.5").has_value());
+    cr_assert(refusal(503, "1000000") == std::chrono::seconds(60));
+    for (const char *value : {"", "-1", "nan", "1e999", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        cr_assert_not(refusal(503, value).has_value(), "%s", value);
+    }
+    cr_assert(read(200, {{"server-leaving", "1"}}).statement.leaving);
+    cr_assert_not(read(200, {{"Server-Leaving", "0"}}).statement.leaving);
+    cr_assert_not(read(200, {}).statement.leaving);
 }
--- a/tests/routing/limit_test.cpp
+++ b/tests/routing/limit_test.cpp
@@ -83,7 +83,7 @@
             content.status = content.kind == ForwardReplyKind::Success ? 200 : 503;
             content.signature = "sig" + std::to_string(reply.attempt.value);
             content.body = "0123456789abcdef";
-            content.requestLimit = requestsPerSecond;
+            content.statement.requestLimit = requestsPerSecond;
             fixture.apply(ForwardReplied{reply.attempt, content});
             collect(host);
         }
@@ -156,7 +156,7 @@
     fixture.send("/one/");
     ForwardReply reply;
     reply.kind = ForwardReplyKind::Success;
-    reply.requestLimit = 0.0;
+    reply.statement.requestLimit = 0.0;
     fixture.apply(ForwardReplied{fixture.last<ForwardRequest>().at(0).attempt, reply});
     fixture.send("/one/");
     cr_assert(fixture.last<ForwardRequest>().empty());
@@ -181,7 +181,7 @@
     fixture.send("/one/");
     ForwardReply reply;
     reply.kind = ForwardReplyKind::Success;
-    reply.requestLimit = 1.0;
+    reply.statement.requestLimit = 1.0;
     fixture.apply(ForwardReplied{fixture.last<ForwardRequest>().at(0).attempt, reply});
     fixture.send("/one/");
     const ClientAnswer answer = fixture.last<AnswerRequest>().at(0).answer;
@@ -199,7 +199,7 @@
     fixture.send("/one/");
     ForwardReply reply;
     reply.kind = ForwardReplyKind::Success;
-    reply.requestLimit = 100.0;
+    reply.statement.requestLimit = 100.0;
     fixture.apply(ForwardReplied{fixture.last<ForwardRequest>().at(0).attempt, reply});
     fixture.send("/one/");
     cr_assert(fixture.last<ForwardRequest>().empty());
