--- a/src/quetzallift/edge/httpclient.h
+++ b/src/quetzallift/edge/httpclient.h
@@ -18,14 +18,14 @@
     std::string method = "GET";
     std::string url;
     std::string body;
-    // If set, encodes the body again once the connection is established, for a body that states the time that is left. The
-    // result is padded with spaces to the size of `body`; it is not used if it is longer.
-    std::function<std::string()> encodeBody = {};
     // Lines of the form "Name: value".
     std::vector<std::string> headers;
     Duration timeout = std::chrono::seconds(1);
     // True if the connection must not be reused for another request.
     bool closeAfter = false;
+    // If set, encodes the body again once the connection is established, for a body that states the time that is left. The
+    // result is padded with spaces to the size of `body`; it is not used if it is longer.
+    std::function<std::string()> encodeBody = {};
 };
 
 enum class HttpOutcome {
