Ignore a peer's configuration that cannot be read

Cause: parseRoutes() throws inside the reducer when a peer sends a document that cannot be read. EntryHost::receive() handled the exception, but EventLoop::dispatch() still counted an event as being applied, so that every later event was queued and none was processed: the control thread made no more decisions, without a sign.

Change: the reducer logs such a document and takes the rest of the reply; EventLoop ends the application of events when an exception leaves it.

--- a/src/quetzallift/control/discovery/relay.cpp
+++ b/src/quetzallift/control/discovery/relay.cpp
@@ -7,6 +7,8 @@
 #include "quetzallift/control/membership.h"
 #include "quetzallift/core/reducecontext.h"
 
+#include <exception>
+
 namespace Quetzallift
 {
 namespace
@@ -24,6 +26,17 @@
     const DiscoveryState &discovery = context.state.control.discovery;
     return !discovery.routes || !discovery.searchersReadAt || context.now - *discovery.searchersReadAt > TablesAgeLimit;
 }
+
+// The configuration in a peer's document, or null if the document cannot be read, as from a peer of another version.
+RouteTablePtr parseDocument(ReduceContext &context, const PeerSender &sender, const std::string &document)
+{
+    try {
+        return context.state.hooks.parseRoutes(document);
+    } catch (const std::exception &error) {
+        context.emit(WriteLog{{LogLevel::Warning, Step::Adopt, sender.self.name, {}, "a peer's configuration cannot be read", {{"reason", error.what()}}}});
+        return nullptr;
+    }
+}
 }
 
 void schedulePeerTablesPoll(ReduceContext &context)
@@ -80,7 +93,8 @@
 void handleTablesReply(ReduceContext &context, const PeerSender &sender, const TablesReply &reply)
 {
     DiscoveryState &discovery = context.state.control.discovery;
-    if (!reply.document.empty() && adoptConfiguration(context, context.state.hooks.parseRoutes(reply.document), sender.self.name)) {
+    const RouteTablePtr routes = reply.document.empty() ? nullptr : parseDocument(context, sender, reply.document);
+    if (routes && adoptConfiguration(context, routes, sender.self.name)) {
         discovery.configurationVersion = std::max(discovery.configurationVersion, reply.configurationVersion);
     }
     const TimePoint readAt = context.now - reply.age;
--- a/src/quetzallift/edge/eventloop.cpp
+++ b/src/quetzallift/edge/eventloop.cpp
@@ -107,13 +107,28 @@
     if (m_applying) {
         return;
     }
-    m_applying = true;
+    // Also ends the work when an exception leaves apply(); otherwise later events would be queued forever.
+    struct Applying {
+        bool &flag;
+
+        explicit Applying(bool &applying)
+            : flag(applying)
+        {
+            flag = true;
+        }
+        ~Applying()
+        {
+            flag = false;
+        }
+        Applying(const Applying &) = delete;
+        Applying &operator=(const Applying &) = delete;
+    };
+    const Applying applying(m_applying);
     while (!m_pending.empty()) {
         EventBody next = std::move(m_pending.front());
         m_pending.pop_front();
         apply(std::move(next));
     }
-    m_applying = false;
 }
 
 void EventLoop::apply(EventBody event)
--- a/tests/edge/eventloop_test.cpp
+++ b/tests/edge/eventloop_test.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <stdexcept>
 #include <thread>
 
 using namespace Quetzallift;
@@ -50,3 +51,20 @@
     // The system time differs from the steady clock by decades.
     cr_assert_lt(std::abs(timers.sec() - steady.count()), std::chrono::seconds(std::chrono::hours(24)).count());
 }
+
+// Guards against a thread that stops deciding without a sign after an exception that its caller has handled.
+Test(eventloop, appliesEventsAfterAnException)
+{
+    EventLoop loop;
+    int executed = 0;
+    loop.setEffectHandler([&executed](const Effect &) {
+        if (++executed == 1) {
+            throw std::runtime_error("an effect that cannot be executed");
+        }
+    });
+    loop.state().control.active = true;
+    cr_assert_throw(loop.dispatch(StopRequested{}), std::runtime_error);
+    const int before = executed;
+    loop.dispatch(StopRequested{});
+    cr_assert_gt(executed, before);
+}
