Refuse requests that a planned stop would cut off

Cause: a host takes requests for 4 s after the signal and cuts off at 5 s what still runs. A request that came at 3.9 s with a limit of 5 or 20 s at a slow searcher was passed on and answered 504 after 1.1 s; one that may not be repeated was lost to its client.

Change: the control thread publishes the time of the cut-off. A request that is not idempotent is taken only if its time limit ends before it, others only with four latency targets left.

--- a/src/quetzallift/control/publish.cpp
+++ b/src/quetzallift/control/publish.cpp
@@ -60,6 +60,7 @@
     snapshot->platformReachable = state.platformFailures == 0;
     snapshot->platformSince = state.platformSince;
     snapshot->leaving = state.stop.requested;
+    snapshot->cutOffAt = state.stop.cutOffAt;
     snapshot->addresses = usableAddresses(state);
     snapshot->addressesVersion = addressesVersion(snapshot->addresses);
     snapshot->regions = state.self.regions;
--- a/src/quetzallift/control/stop.cpp
+++ b/src/quetzallift/control/stop.cpp
@@ -75,11 +75,12 @@
         return;
     }
     state.stop.requested = true;
+    state.stop.cutOffAt = context.now + state.self.reloadable.stopLimit;
     const bool advertised = (state.bundle || state.discovery.routes) && state.fleet.self.status == MemberStatus::Live;
     updateOwnStatus(context, MemberStatus::Leaving);
     publishSnapshot(context);
     announce(context, LeaveFanout);
-    context.emit(StartTimer{{TimerKind::StopLimit, 0}, context.now + state.self.reloadable.stopLimit});
+    context.emit(StartTimer{{TimerKind::StopLimit, 0}, *state.stop.cutOffAt});
     if (!advertised) {
         // No address list has named this host to a caller.
         context.emit(StopTraffic{});
--- a/src/quetzallift/model/controlsnapshot.h
+++ b/src/quetzallift/model/controlsnapshot.h
@@ -5,6 +5,7 @@
 #include "quetzallift/model/searchertable.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,3 +50,5 @@
 
 using ControlSnapshotPtr = RefPtr<const ControlSnapshot>;
 }
+    // Set while this host is stopping: the time at which requests that still run are cut off.
+    std::optional<TimePoint> cutOffAt;
--- a/src/quetzallift/routing/accept.cpp
+++ b/src/quetzallift/routing/accept.cpp
@@ -106,6 +106,19 @@
 }
 
 RunningRequest &addRequest(ReduceContext &context, const RequestArrived &event, const Route &route, const std::vector<std::string> &names)
+// Whether a request that arrives while this host leaves is answered before running requests are cut off. A cut-off request
+// that is not idempotent is lost to its client, since it may have run; the client may repeat others.
+bool endsBeforeCutOff(const ReduceContext &context, const Route &route, TimePoint deadline)
+{
+    // Few requests take longer than this multiple of their latency target.
+    constexpr int TargetMultiple = 4;
+    const std::optional<TimePoint> &cutOffAt = context.state.routing.cutOffAt;
+    if (!cutOffAt || deadline <= *cutOffAt) {
+        return true;
+    }
+    return route.idempotent && context.now + route.targetLatency * TargetMultiple <= *cutOffAt;
+}
+
 {
     RoutingState &state = context.state.routing;
     RunningRequest &request = state.requests[event.request];
@@ -159,6 +172,10 @@
         return;
     }
     const std::vector<std::string> names = selectServices(context, *route);
+    if (!endsBeforeCutOff(context, *route, deadlineOf(context, event, *route))) {
+        answerUnadmitted(context, event.request, content, route, refusal(Duration::zero(), "this host is leaving and may not answer in time"));
+        return;
+    }
     for (const std::string &name : names) {
         state.services[name].retryBudget.deposit(context.now);
     }
--- a/src/quetzallift/routing/applysnapshot.cpp
+++ b/src/quetzallift/routing/applysnapshot.cpp
@@ -76,6 +76,7 @@
         return;
     }
     state.leaving = state.leaving || control->leaving;
+    state.cutOffAt = control->cutOffAt;
     const unsigned hosts = static_cast<unsigned>(std::max<std::size_t>(1, control->addresses.size()));
     const bool limitsChanged = control->routes != state.routes || hosts != state.hosts;
     const bool searchersChanged = control->searchers && control->searchers != state.table;
--- a/src/quetzallift/routing/routingstate.h
+++ b/src/quetzallift/routing/routingstate.h
@@ -38,3 +38,5 @@
     bool stopping = false;
 };
 }
+    // While this host leaves, the time at which requests that still run are cut off.
+    std::optional<TimePoint> cutOffAt;
--- a/tests/routing/routingfixture.h
+++ b/tests/routing/routingfixture.h
@@ -5,6 +5,7 @@
 #include "quetzallift/core/state.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
     std::uint64_t lastRequest = 0;
     bool leaving = false;
     std::size_t hosts = 1;
+    // Set while the host stops.
+    std::optional<TimePoint> cutOffAt;
 
     RoutingFixture()
     {
@@ -79,6 +82,7 @@
         }
         snapshot->leaving = leaving;
         apply(ControlSnapshotPublished{snapshot});
+        snapshot->cutOffAt = cutOffAt;
     }
 
     void apply(EventBody event)
