Name a pool of hosts in each data centre to clients

Cause: in a fleet of 295 hosts every host got one request in five seconds.

Change: hosts state their processor time in membership updates, and the directory names the three hosts of a data centre that have the most of it, equals by rendezvous hash. A host whose request timers fire late counts as busy and adds one more host. Pool hosts share 0.8 of connections, retry slack and stated request limits, the others 0.2; a host whose part of a searcher's connections is below one keeps none open. Data centres of three hosts or fewer work as before.

--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -134,6 +134,8 @@
         m_clients.stopListening();
     } else if (const auto *stopped = std::get_if<ReportStopped>(&effect)) {
         m_postToControl(TrafficStopped{0, stopped->cutOff});
+    } else if (const auto *load = std::get_if<ReportBusy>(&effect)) {
+        m_postToControl(BusyReported{0, load->busy});
     } else if (const auto *line = std::get_if<WriteLog>(&effect)) {
         log(line->record);
     } else if (const auto *metric = std::get_if<CountMetric>(&effect)) {
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -45,6 +46,11 @@
     // Peers that have not yet heard of a stop go on naming the host for about two seconds.
     constexpr Duration AddressesMargin = std::chrono::seconds(2);
     times.leaveGracePeriod = fields.milliseconds("addresses_used_ms", Duration::zero(), std::chrono::minutes(10), times.addressesTtl + AddressesMargin);
+    // Far more cores than any host has.
+    constexpr double MaximumCores = 4096.0;
+    constexpr double CapacityUnits = 1000.0;
+    const double processorShare = fields.number("processor_share", 0.0, MaximumCores, 0.0);
+    host.capacity = static_cast<unsigned>(std::lround(processorShare * fields.number("processor_speed", 0.0, MaximumCores, 1.0) * CapacityUnits));
     host.cell = fields.text("cell", std::string(), MaximumNameLength);
     host.peers = fields.texts("peers");
     fields.rejectUnknown();
--- a/src/quetzallift/control/addresses.cpp
+++ b/src/quetzallift/control/addresses.cpp
@@ -43,7 +43,7 @@
     std::vector<HostAddress> all;
     std::vector<HostAddress> holding;
     const auto add = [&](const MemberUpdate &info) {
-        all.push_back({info.name, info.address, info.dataCentre});
+        all.push_back({info.name, info.address, info.dataCentre, info.capacity, info.busy});
         // Hosts of other cells hold shares of the searchers of their own cell, which this host does not track.
         if (holders.contains(info.name) || info.cell != state.self.cell) {
             holding.push_back(all.back());
--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -34,6 +34,8 @@
     // Peer addresses to probe while no other host is known, for example because the platform is unavailable.
     std::vector<std::string> peers;
     unsigned trafficThreads = 1;
+    // The part of processor time that this host may use, in thousandths of a core; 0 if unknown.
+    unsigned capacity = 0;
     // True if all hosts of the fleet start at the same time for the first time.
     bool firstStart = false;
     ReloadableSettings reloadable;
@@ -121,6 +123,8 @@
     std::uint64_t hostListSerial = 0;
     DiscoveryState discovery;
     MembershipState fleet;
+    // The traffic threads that are busy.
+    std::set<unsigned> busyThreads;
     SharesState shares;
     SpreadState spread;
     // True while this host is one of the watchers of the platform in its data centre.
--- a/src/quetzallift/control/events.h
+++ b/src/quetzallift/control/events.h
@@ -36,6 +36,12 @@
     std::string answer;
 };
 
+// A traffic thread became busy, or is no longer busy.
+struct BusyReported {
+    unsigned thread = 0;
+    bool busy = false;
+};
+
 // A peer sent a message.
 struct PeerMessageArrived {
     std::string from;
--- a/src/quetzallift/control/handlers.h
+++ b/src/quetzallift/control/handlers.h
@@ -10,6 +10,9 @@
 // Joins the fleet and starts reading the rollout and the host list.
 void startControl(ReduceContext &context);
 
+// Updates whether this host is busy, and announces a change to the fleet.
+void handleBusyReported(ReduceContext &context, const BusyReported &event);
+
 // Applies a peer's message to the control state and answers it.
 void handlePeerMessage(ReduceContext &context, const PeerMessageArrived &event);
 
--- a/src/quetzallift/control/lifecycle.cpp
+++ b/src/quetzallift/control/lifecycle.cpp
@@ -101,6 +101,27 @@
     scheduleNextPeriod(context);
 }
 
+void handleBusyReported(ReduceContext &context, const BusyReported &event)
+{
+    ControlState &state = context.state.control;
+    if (event.busy) {
+        state.busyThreads.insert(event.thread);
+    } else {
+        state.busyThreads.erase(event.thread);
+    }
+    const bool busy = !state.busyThreads.empty();
+    if (busy == state.fleet.self.busy) {
+        return;
+    }
+    state.fleet.self.busy = busy;
+    updateOwnStatus(context, state.fleet.self.status);
+    context.emit(WriteLog{{LogLevel::Info,
+                           Step::Admit,
+                           {},
+                           {},
+                           busy ? "requests wait for this host; one more host is named to clients" : "requests no longer wait for this host"}});
+}
+
 void applySettings(ReduceContext &context, const ReloadableSettings &settings)
 {
     context.state.control.self.reloadable = settings;
--- a/src/quetzallift/control/membership.cpp
+++ b/src/quetzallift/control/membership.cpp
@@ -114,7 +114,9 @@
                   identity.address,
                   identity.peerAddress,
                   identity.dataCentre,
-                  identity.cell};
+                  identity.cell,
+                  identity.capacity,
+                  false};
     fleet.startedAt = context.now;
     fleet.lastTick = context.now;
     queueUpdate(fleet, identity.name);
--- a/src/quetzallift/control/publish.cpp
+++ b/src/quetzallift/control/publish.cpp
@@ -61,6 +61,7 @@
     snapshot->platformSince = state.platformSince;
     snapshot->leaving = state.stop.requested;
     snapshot->cutOffAt = state.stop.cutOffAt;
+    snapshot->self = state.self.name;
     snapshot->addresses = usableAddresses(state);
     snapshot->addressesVersion = addressesVersion(snapshot->addresses);
     snapshot->regions = state.self.regions;
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -53,6 +53,7 @@
     case TimerKind::DispatchTimeout:
     case TimerKind::OrphanLimit:
     case TimerKind::PacedSend:
+    case TimerKind::BusyCheck:
         handleRoutingTimer(context, event.timer);
         break;
     case TimerKind::SharesCheck:
@@ -141,6 +142,10 @@
     {
         handleOutcomeRecorded(context, event);
     }
+    void operator()(const BusyReported &event)
+    {
+        handleBusyReported(context, event);
+    }
     void operator()(const PeerMessageArrived &event)
     {
         handlePeerMessage(context, event);
--- a/src/quetzallift/core/timerkey.h
+++ b/src/quetzallift/core/timerkey.h
@@ -33,6 +33,7 @@
     DispatchTimeout,
     OrphanLimit,
     PacedSend,
+    BusyCheck,
     ConfigurationRead,
     SearchersRead,
     SearcherExpiry,
--- a/src/quetzallift/edge/peercodec.cpp
+++ b/src/quetzallift/edge/peercodec.cpp
@@ -45,6 +45,8 @@
         fields.push_back(update.peerAddress);
         fields.push_back(update.dataCentre);
         fields.push_back(update.cell);
+        fields.push_back(update.capacity);
+        fields.push_back(update.busy);
     }
     return fields;
 }
@@ -182,9 +184,12 @@
     MemberUpdate update(const json &fields, const std::string &name) const
     {
         constexpr std::size_t ShortFieldCount = 5;
-        constexpr std::size_t FullFieldCount = 9;
-        if (!fields.is_array() || (fields.size() != ShortFieldCount && fields.size() != FullFieldCount)) {
-            fail(name + " is not a member update of 5 or 9 fields");
+        // Without the last two fields in the messages of earlier versions.
+        constexpr std::size_t AddressFieldCount = 9;
+        constexpr std::size_t FullFieldCount = 11;
+        const std::size_t count = fields.is_array() ? fields.size() : 0;
+        if (count != ShortFieldCount && count != AddressFieldCount && count != FullFieldCount) {
+            fail(name + " is not a member update of 5, 9 or 11 fields");
         }
         MemberUpdate update;
         try {
@@ -196,12 +201,16 @@
             }
             update.status = static_cast<MemberStatus>(status);
             update.stopped = fields[4].get<bool>();
-            if (fields.size() == FullFieldCount) {
+            if (count >= AddressFieldCount) {
                 update.address = fields[5].get<std::string>();
                 update.peerAddress = fields[6].get<std::string>();
                 update.dataCentre = fields[7].get<std::string>();
                 update.cell = fields[8].get<std::string>();
             }
+            if (count == FullFieldCount) {
+                update.capacity = fields[9].get<unsigned>();
+                update.busy = fields[10].get<bool>();
+            }
         } catch (const json::exception &error) {
             fail(name + " has a field of the wrong type: " + error.what());
         }
--- a/src/quetzallift/model/controlsnapshot.h
+++ b/src/quetzallift/model/controlsnapshot.h
@@ -17,6 +17,12 @@
     std::string name;
     std::string address;
     std::string dataCentre;
+    // In thousandths of a core; 0 if unknown.
+    unsigned capacity = 0;
+    // True while the host has little processor time left.
+    bool busy = false;
+
+    bool operator==(const HostAddress &) const = default;
 };
 
 // The control decisions in force on the traffic threads. Immutable: each change is published as a new snapshot.
@@ -26,6 +32,8 @@
     // The configuration of routes and their searchers; null if no metadata store holds them.
     RouteTablePtr routes;
     SearcherTablePtr searchers;
+    // The name of this host.
+    std::string self;
     // The entry hosts that callers may use, and the version of the list.
     std::vector<HostAddress> addresses;
     std::uint64_t addressesVersion = 0;
@@ -46,9 +54,9 @@
     TimePoint platformSince;
     // True once this host is stopping.
     bool leaving = false;
+    // Set while this host is stopping: the time at which requests that still run are cut off.
+    std::optional<TimePoint> cutOffAt;
 };
 
 using ControlSnapshotPtr = RefPtr<const ControlSnapshot>;
 }
-    // Set while this host is stopping: the time at which requests that still run are cut off.
-    std::optional<TimePoint> cutOffAt;
--- a/src/quetzallift/model/memberupdate.h
+++ b/src/quetzallift/model/memberupdate.h
@@ -26,6 +26,10 @@
     std::string dataCentre;
     // The set of hosts among which the connections to a set of searchers are divided; empty in a fleet of one set.
     std::string cell;
+    // The host's part of processor time, in thousandths of a core; 0 if unknown.
+    unsigned capacity = 0;
+    // True while the host has little processor time left, so that more hosts of its data centre should serve clients.
+    bool busy = false;
 };
 
 // Whether an update replaces the known update about the same host: by a higher incarnation, then by a later status,
--- a/src/quetzallift/routing/accept.cpp
+++ b/src/quetzallift/routing/accept.cpp
@@ -2,6 +2,7 @@
 #include "quetzallift/routing/dispatch.h"
 #include "quetzallift/routing/finishing.h"
 #include "quetzallift/routing/handlers.h"
+#include "quetzallift/routing/processordelay.h"
 #include "quetzallift/routing/searcherchoice.h"
 #include "quetzallift/routing/searcherstatements.h"
 #include "quetzallift/routing/straggling.h"
@@ -105,7 +106,6 @@
     return context.now - event.waited + limit - limit / LimitReserveDivisor;
 }
 
-RunningRequest &addRequest(ReduceContext &context, const RequestArrived &event, const Route &route, const std::vector<std::string> &names)
 // Whether a request that arrives while this host leaves is answered before running requests are cut off. A cut-off request
 // that is not idempotent is lost to its client, since it may have run; the client may repeat others.
 bool endsBeforeCutOff(const ReduceContext &context, const Route &route, TimePoint deadline)
@@ -119,6 +119,7 @@
     return route.idempotent && context.now + route.targetLatency * TargetMultiple <= *cutOffAt;
 }
 
+RunningRequest &addRequest(ReduceContext &context, const RequestArrived &event, const Route &route, const std::vector<std::string> &names)
 {
     RoutingState &state = context.state.routing;
     RunningRequest &request = state.requests[event.request];
@@ -171,11 +172,11 @@
         answerUnadmitted(context, event.request, content, route, refusal(Duration::zero(), "the time limit passed before the request was read"));
         return;
     }
-    const std::vector<std::string> names = selectServices(context, *route);
     if (!endsBeforeCutOff(context, *route, deadlineOf(context, event, *route))) {
         answerUnadmitted(context, event.request, content, route, refusal(Duration::zero(), "this host is leaving and may not answer in time"));
         return;
     }
+    const std::vector<std::string> names = selectServices(context, *route);
     for (const std::string &name : names) {
         state.services[name].retryBudget.deposit(context.now);
     }
@@ -227,11 +228,19 @@
         sendPacedParts(context);
         return;
     }
+    if (timer.kind == TimerKind::BusyCheck) {
+        reportBusy(context);
+        return;
+    }
     const auto found = context.state.routing.requests.find(QueryId{timer.subject});
     if (found == context.state.routing.requests.end()) {
         return;
     }
     RunningRequest &request = found->second;
+    if (timer.kind == TimerKind::DispatchTimeout) {
+        const Duration late = context.now - (request.arrivedAt + request.route->targetLatency / OfferLimitDivisor);
+        recordProcessorDelay(context, late, request.route->targetLatency);
+    }
     if (timer.kind == TimerKind::RequestLimit) {
         answerAtLimit(context, request);
     } else if (timer.kind == TimerKind::RequestTarget) {
--- a/src/quetzallift/routing/applysnapshot.cpp
+++ b/src/quetzallift/routing/applysnapshot.cpp
@@ -1,6 +1,7 @@
 #include "quetzallift/core/reducecontext.h"
 #include "quetzallift/routing/dispatch.h"
 #include "quetzallift/routing/handlers.h"
+#include "quetzallift/routing/hostpool.h"
 
 #include <algorithm>
 #include <vector>
@@ -47,14 +48,14 @@
     }
 }
 
-void applyLimits(RoutingState &state, unsigned hosts)
+void applyLimits(RoutingState &state)
 {
-    const double divisor = std::max(1U, hosts);
     for (const auto &[name, policy] : state.routes->services) {
         ServiceLoad &service = state.services[name];
-        const double limit = policy.connectionLimit * (1.0 - ConnectionReserve) / divisor;
+        const double limit = policy.connectionLimit * (1.0 - ConnectionReserve) * state.fleetShare;
         service.connections = std::max(1U, static_cast<unsigned>(limit));
-        service.retryBudget.resize(state.allowance, hosts);
+        service.keepsIdleConnections = limit >= 1.0;
+        service.retryBudget.resize(state.allowance, state.fleetShare);
     }
 }
 }
@@ -64,7 +65,7 @@
     RoutingState &state = context.state.routing;
     state.allowance = allowance;
     if (state.routes) {
-        applyLimits(state, state.hosts);
+        applyLimits(state);
     }
 }
 
@@ -77,17 +78,17 @@
     }
     state.leaving = state.leaving || control->leaving;
     state.cutOffAt = control->cutOffAt;
-    const unsigned hosts = static_cast<unsigned>(std::max<std::size_t>(1, control->addresses.size()));
-    const bool limitsChanged = control->routes != state.routes || hosts != state.hosts;
+    const bool limitsChanged = control->routes != state.routes || control->addresses != state.hosts;
     const bool searchersChanged = control->searchers && control->searchers != state.table;
     state.routes = control->routes;
-    state.hosts = hosts;
+    state.hosts = control->addresses;
+    state.fleetShare = fleetShare(state.hosts, control->self);
     if (searchersChanged) {
         state.table = control->searchers;
         applySearchers(context, *state.table);
     }
     if (limitsChanged || searchersChanged) {
-        applyLimits(state, hosts);
+        applyLimits(state);
     }
     if (searchersChanged) {
         for (auto &[name, service] : state.services) {
--- a/src/quetzallift/routing/effects.h
+++ b/src/quetzallift/routing/effects.h
@@ -36,6 +36,11 @@
 struct StopListening {
 };
 
+// Reports to the control thread whether requests wait too long for this thread.
+struct ReportBusy {
+    bool busy = false;
+};
+
 // Answers the client.
 struct AnswerRequest {
     QueryId request;
--- a/src/quetzallift/routing/hostchoice.cpp
+++ b/src/quetzallift/routing/hostchoice.cpp
@@ -1,5 +1,7 @@
 #include "quetzallift/routing/hostchoice.h"
 
+#include "quetzallift/routing/hostpool.h"
+
 #include <algorithm>
 #include <iterator>
 #include <map>
@@ -37,10 +39,10 @@
     return complete;
 }
 
-std::vector<HostAddress> hostsIn(const ControlSnapshot &control, const std::set<std::string> &dataCentres)
+std::vector<HostAddress> hostsIn(const std::vector<HostAddress> &pool, const std::set<std::string> &dataCentres)
 {
     std::vector<HostAddress> hosts;
-    std::copy_if(control.addresses.begin(), control.addresses.end(), std::back_inserter(hosts), [&dataCentres](const HostAddress &host) {
+    std::copy_if(pool.begin(), pool.end(), std::back_inserter(hosts), [&dataCentres](const HostAddress &host) {
         return dataCentres.contains(host.dataCentre);
     });
     return hosts;
@@ -63,19 +65,20 @@
 
 std::vector<HostAddress> hostsForClients(const ControlSnapshot &control, const std::string &dataCentre)
 {
+    const std::vector<HostAddress> pool = hostPool(control.addresses);
     std::vector<HostAddress> hosts;
     if (control.routes && control.searchers) {
         const std::set<std::string> complete = completeDataCentres(control);
         // Without a complete data centre, parts cross data centres in any case; a local host at least shortens the
         // client's path.
         const bool useLocal = complete.empty() || complete.contains(dataCentre);
-        hosts = hostsIn(control, useLocal ? std::set<std::string>{dataCentre} : inSameRegion(control, dataCentre, complete));
+        hosts = hostsIn(pool, useLocal ? std::set<std::string>{dataCentre} : inSameRegion(control, dataCentre, complete));
         if (hosts.empty()) {
-            hosts = hostsIn(control, complete);
+            hosts = hostsIn(pool, complete);
         }
     }
     if (hosts.empty()) {
-        hosts = control.addresses;
+        hosts = pool;
     }
     hosts.resize(std::min(hosts.size(), MaximumAddresses));
     return hosts;
--- a/src/quetzallift/routing/replies.cpp
+++ b/src/quetzallift/routing/replies.cpp
@@ -44,6 +44,14 @@
     answerIfDone(context, request);
 }
 
+// Closes the searcher's idle connections unless this host may keep one.
+void releaseConnection(ReduceContext &context, const SearcherLoad &searcher, const ServiceLoad &service)
+{
+    if (!service.keepsIdleConnections && searcher.inFlight.empty()) {
+        context.emit(CloseIdleConnections{searcher.entry.id});
+    }
+}
+
 void recordReply(ReduceContext &context, const ForwardAttempt &attempt, const ForwardReply &reply)
 {
     SearcherLoad &searcher = *attempt.searcher;
@@ -87,7 +95,7 @@
     }
     const ForwardAttempt attempt = removeAttempt(context, event.attempt);
     recordReply(context, attempt, event.reply);
-    const std::string service = attempt.searcher->entry.service;
+    ServiceLoad &service = state.services[attempt.searcher->entry.service];
     RunningRequest *request = requestOf(state, attempt);
     if (request != nullptr) {
         const bool ran = event.reply.kind == ForwardReplyKind::Success || event.reply.kind == ForwardReplyKind::Failure;
@@ -105,7 +113,8 @@
             retryPart(context, *request, attempt.part, std::move(failure), ResendCause::Failed);
         }
     }
-    sendQueuedParts(context, state.services[service]);
+    sendQueuedParts(context, service);
+    releaseConnection(context, *attempt.searcher, service);
 }
 
 void handleForwardFailed(ReduceContext &context, const ForwardFailed &event)
--- a/src/quetzallift/routing/retrybudget.cpp
+++ b/src/quetzallift/routing/retrybudget.cpp
@@ -16,9 +16,9 @@
 constexpr double MinimumBurst = 1.0;
 }
 
-void RetryBudget::resize(const RetryAllowance &allowance, unsigned hosts)
+void RetryBudget::resize(const RetryAllowance &allowance, double fleetShare)
 {
-    const double slack = allowance.slack / std::max(1U, hosts);
+    const double slack = allowance.slack * fleetShare;
     const double burst = std::max(MinimumBurst, slack * BurstFraction);
     m_tokens.resize(burst);
     m_ratio = allowance.ratio;
--- a/src/quetzallift/routing/retrybudget.h
+++ b/src/quetzallift/routing/retrybudget.h
@@ -10,8 +10,8 @@
 class RetryBudget
 {
 public:
-    // Takes over the ratio, and divides the slack of the fleet by the number of hosts.
-    void resize(const RetryAllowance &allowance, unsigned hosts);
+    // Takes over the ratio and this host's part of the fleet's slack.
+    void resize(const RetryAllowance &allowance, double fleetShare);
 
     // Adds tokens for a first request and for the time since the last first request.
     void deposit(TimePoint now);
--- a/src/quetzallift/routing/routingstate.h
+++ b/src/quetzallift/routing/routingstate.h
@@ -2,6 +2,7 @@
 
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/reloadablesettings.h"
+#include "quetzallift/routing/processordelay.h"
 #include "quetzallift/routing/routelatency.h"
 #include "quetzallift/routing/runningrequest.h"
 #include "quetzallift/routing/serviceload.h"
@@ -23,20 +24,27 @@
     std::map<std::string, ServiceLoad> services;
     // Keyed by the name of the route.
     std::map<std::string, RouteLatency> latencies;
-    // The tables and the number of hosts that `searchers` and `services` were last updated from.
+    // The tables and the hosts that `searchers` and `services` were last updated from.
     SearcherTablePtr table;
     RouteTablePtr routes;
-    unsigned hosts = 0;
+    std::vector<HostAddress> hosts;
+    // This host's part of what all hosts own together: connections to searchers, extra requests, stated request limits.
+    double fleetShare = 1.0;
     // The traffic threads of this host.
     unsigned threads = 1;
     // The scheduled time at which queued parts are sent to searchers that limit their requests.
     std::optional<TimePoint> pacedSendAt;
+    // How late timers of requests fire, and whether the control thread was told that this thread is busy.
+    ProcessorDelay processorDelay;
+    bool reportedBusy = false;
+    // The time of the last BusyCheck timer that was set.
+    TimePoint busyCheckAt;
     std::uint64_t lastAttempt = 0;
+    // While this host leaves, the time at which requests that still run are cut off.
+    std::optional<TimePoint> cutOffAt;
     // `leaving` is true once this host leaves: connections are closed after their next answer. `stopping` is true once
     // the host admits no more requests.
     bool leaving = false;
     bool stopping = false;
 };
 }
-    // While this host leaves, the time at which requests that still run are cut off.
-    std::optional<TimePoint> cutOffAt;
--- a/src/quetzallift/routing/searcherstatements.cpp
+++ b/src/quetzallift/routing/searcherstatements.cpp
@@ -46,10 +46,10 @@
         logStatement(context,
                      searcher,
                      "the searcher limits its requests",
-                     {{"requests_per_second", std::to_string(*perSecond)}, {"hosts", std::to_string(state.hosts)}});
+                     {{"requests_per_second", std::to_string(*perSecond)}, {"fleet_share", std::to_string(state.fleetShare)}});
     }
-    const double senders = static_cast<double>(std::max(1U, state.hosts)) * std::max(1U, state.threads);
-    searcher.pace->setRate(std::max(*perSecond, MinimumRequestsPerSecond) / senders, randomPart(context), context.now);
+    const double part = state.fleetShare / std::max(1U, state.threads);
+    searcher.pace->setRate(std::max(*perSecond, MinimumRequestsPerSecond) * part, randomPart(context), context.now);
 }
 
 void recordRefusal(ReduceContext &context, SearcherLoad &searcher, Duration refusesFor)
--- a/src/quetzallift/routing/serviceload.h
+++ b/src/quetzallift/routing/serviceload.h
@@ -20,6 +20,9 @@
     std::vector<SearcherLoadPtr> searchers;
     // The most connections to one searcher that this traffic thread uses.
     unsigned connections = 1;
+    // False if the part of a searcher's connections that this thread owns is less than one connection: it then holds a
+    // connection only while a request needs it.
+    bool keepsIdleConnections = true;
     LatencyAverage latency;
     RetryBudget retryBudget;
     std::deque<QueuedPart> queue;
--- a/tests/edge/peercodec_test.cpp
+++ b/tests/edge/peercodec_test.cpp
@@ -10,7 +10,7 @@
 PeerMessage sampleMessage(PeerMessageBody body)
 {
     PeerMessage message;
-    message.sender.self = {"kingston-1", {7, 2}, MemberStatus::Live, false, "10.0.0.1:80", "10.0.0.1:81", "kingston-a", "cell-1"};
+    message.sender.self = {"kingston-1", {7, 2}, MemberStatus::Live, false, "10.0.0.1:80", "10.0.0.1:81", "kingston-a", "cell-1", 500, true};
     message.sender.generation.value = 9;
     message.sender.sharesEpoch = 4;
     message.updates.push_back({"ocho-1", {8, 0}, MemberStatus::Gone, true, {}, {}, {}, {}});
@@ -32,6 +32,7 @@
     cr_assert_eq(message.sender.sharesEpoch, 4U);
     cr_assert_eq(message.sender.self.incarnation.refutation, 2U);
     cr_assert(message.sender.self.peerAddress == "10.0.0.1:81");
+    cr_assert(message.sender.self.capacity == 500U && message.sender.self.busy);
     cr_assert(message.updates.at(0).status == MemberStatus::Gone && message.updates.at(0).stopped);
     cr_assert(std::get<ProbeReply>(message.body).subject == "waco-1");
 }
--- a/tests/routing/limit_test.cpp
+++ b/tests/routing/limit_test.cpp
@@ -28,6 +28,7 @@
     {
         for (RoutingFixture &host : hosts) {
             host.hosts = hostCount;
+            host.self = "host" + std::to_string(seed);
             host.addRoute("/one/", "desk", true);
             host.addScattered(4, 0.5);
             host.addSearcher("x", "desk", "a");
--- a/tests/routing/routingfixture.h
+++ b/tests/routing/routingfixture.h
@@ -21,6 +21,7 @@
     std::uint64_t lastRequest = 0;
     bool leaving = false;
     std::size_t hosts = 1;
+    std::string self = "host0";
     // Set while the host stops.
     std::optional<TimePoint> cutOffAt;
 
@@ -80,9 +81,10 @@
         for (std::size_t host = 0; host < hosts; ++host) {
             snapshot->addresses.push_back({"host" + std::to_string(host), "10.0.0.9:80", "a"});
         }
+        snapshot->self = self;
         snapshot->leaving = leaving;
-        apply(ControlSnapshotPublished{snapshot});
         snapshot->cutOffAt = cutOffAt;
+        apply(ControlSnapshotPublished{snapshot});
     }
 
     void apply(EventBody event)
