Say in the tables for peers which searchers are about to be dropped

Cause: a host that had lost the store for 2.8 s keeps searchers whose entries are gone for 2.3 s. The tables that it sends to peers held these searchers like all others, under the store version at which they are gone. A host that restarted at that moment took them over and never heard of them again. The log of the restarted host shows the takeover 1.3 s before the peer drops the searcher, and nothing about it later.

Change: tables state how much longer the sender keeps such a searcher. The receiver drops it no later, and does not take it over if it has dropped it already, which was the same fault on a host that serves. The field is only sent while a searcher expires, since hosts of earlier versions refuse fields that they do not know.

--- a/src/quetzallift/control/discovery/relay.cpp
+++ b/src/quetzallift/control/discovery/relay.cpp
@@ -85,6 +85,7 @@
         for (const auto &[id, entry] : discovery.searchers) {
             reply.searchers.push_back(entry);
         }
+        reply.expiring = remainingGrace(context);
     }
     reply.age = context.now - *discovery.searchersReadAt;
     sendToPeer(context, sender.self.peerAddress, std::move(reply));
@@ -103,21 +104,15 @@
     if (!reply.withSearchers || !(hasLaterVersion || hasLaterRead)) {
         return;
     }
-    discovery.searchers.clear();
-    discovery.expiring.clear();
-    for (const SearcherEntry &entry : reply.searchers) {
-        discovery.searchers[entry.id] = entry;
-    }
-    discovery.searchersReadAt = std::max(discovery.searchersReadAt, std::optional(readAt));
-    // A version of 0, which a peer sends if it does not know the version, leads to a new list.
-    discovery.searchersVersion = reply.searchersVersion;
+    applyPeerSearchers(context, reply, readAt);
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(reply.age);
     context.emit(WriteLog{{LogLevel::Info,
                            Step::PassOn,
                            sender.self.name,
                            {},
                            "searchers taken from a peer",
-                           {{"searchers", std::to_string(reply.searchers.size())}, {"age_ms", std::to_string(age.count())}}}});
-    publishSearchers(context);
+                           {{"searchers", std::to_string(reply.searchers.size())},
+                            {"expiring", std::to_string(reply.expiring.size())},
+                            {"age_ms", std::to_string(age.count())}}}});
 }
 }
--- a/src/quetzallift/control/discovery/searchers.cpp
+++ b/src/quetzallift/control/discovery/searchers.cpp
@@ -73,14 +73,22 @@
     }
 }
 
+// Removes a searcher at the given time, unless its entry is in the store again by then.
+void expireAt(ReduceContext &context, const std::string &id, TimePoint at)
+{
+    if (discoveryOf(context).expiring.emplace(id, at).second) {
+        context.emit(StartTimer{{TimerKind::SearcherExpiry, 0}, at});
+    }
+}
+
 // Removes a searcher whose entry disappeared from the store, either immediately or at the end of the grace period.
 void removeOrExpire(ReduceContext &context, const std::string &id)
 {
-    DiscoveryState &discovery = discoveryOf(context);
+    const DiscoveryState &discovery = discoveryOf(context);
     if (context.now >= discovery.outageGraceUntil) {
         removeSearcher(context, id, "searcher is gone");
-    } else if (discovery.searchers.contains(id) && discovery.expiring.emplace(id, discovery.outageGraceUntil).second) {
-        context.emit(StartTimer{{TimerKind::SearcherExpiry, 0}, discovery.outageGraceUntil});
+    } else if (discovery.searchers.contains(id)) {
+        expireAt(context, id, discovery.outageGraceUntil);
     }
 }
 
@@ -231,6 +239,41 @@
     return true;
 }
 
+void applyPeerSearchers(ReduceContext &context, const TablesReply &reply, TimePoint readAt)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    const auto known = std::exchange(discovery.searchers, {});
+    const auto knownExpiring = std::exchange(discovery.expiring, {});
+    for (const SearcherEntry &entry : reply.searchers) {
+        const auto left = reply.expiring.find(entry.id);
+        if (left == reply.expiring.end()) {
+            discovery.searchers[entry.id] = entry;
+            continue;
+        }
+        if (discovery.searchersReadAt && !known.contains(entry.id)) {
+            // This host has dropped the searcher already.
+            continue;
+        }
+        const auto own = knownExpiring.find(entry.id);
+        const TimePoint at = context.now + left->second;
+        discovery.searchers[entry.id] = entry;
+        expireAt(context, entry.id, own == knownExpiring.end() ? at : std::min(at, own->second));
+    }
+    discovery.searchersReadAt = std::max(discovery.searchersReadAt, std::optional(readAt));
+    // A version of 0, which a peer sends if it does not know the version, leads to a new list.
+    discovery.searchersVersion = reply.searchersVersion;
+    publishSearchers(context);
+}
+
+std::map<std::string, Duration> remainingGrace(const ReduceContext &context)
+{
+    std::map<std::string, Duration> remaining;
+    for (const auto &[id, at] : context.state.control.discovery.expiring) {
+        remaining[id] = std::max(at - context.now, Duration::zero());
+    }
+    return remaining;
+}
+
 void expireSearchers(ReduceContext &context)
 {
     DiscoveryState &discovery = discoveryOf(context);
--- a/src/quetzallift/control/discovery/searchers.h
+++ b/src/quetzallift/control/discovery/searchers.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "quetzallift/model/peermessage.h"
 #include "quetzallift/model/platform.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace Quetzallift
 {
@@ -15,6 +18,13 @@
 // version of the searchers known here, or if no version is known.
 bool applySearcherChanges(ReduceContext &context, std::uint64_t from, std::uint64_t to, const SearcherPage &changes, TimePoint readAt);
 
+// Replaces the searchers by those of a peer, which read them from the store at the given time. Searchers that the peer is about
+// to drop are dropped here no later, and are not taken over if this host has dropped them already.
+void applyPeerSearchers(ReduceContext &context, const TablesReply &reply, TimePoint readAt);
+
+// Returns how much longer each searcher is kept whose entry disappeared around an outage.
+std::map<std::string, Duration> remainingGrace(const ReduceContext &context);
+
 // Removes searchers whose entries disappeared around an outage and were not registered again in time.
 void expireSearchers(ReduceContext &context);
 
--- a/src/quetzallift/edge/peercodec.cpp
+++ b/src/quetzallift/edge/peercodec.cpp
@@ -133,7 +133,12 @@
         fields["with_searchers"] = body.withSearchers;
         fields["searchers"] = json::array();
         for (const SearcherEntry &entry : body.searchers) {
-            fields["searchers"].push_back(encode(entry));
+            json item = encode(entry);
+            // Only on these entries, since hosts of earlier versions refuse fields that they do not know.
+            if (const auto left = body.expiring.find(entry.id); left != body.expiring.end()) {
+                item["expires_ms"] = toMilliseconds(left->second);
+            }
+            fields["searchers"].push_back(std::move(item));
         }
     }
     void operator()(const TablesUpdate &body) const
@@ -278,8 +283,12 @@
         body.searchersVersion = m_fields.integer("searchers_version", 0, UINT64_MAX, 0);
         body.withSearchers = m_fields.flag("with_searchers", true);
         for (JsonFields &item : m_fields.objects("searchers")) {
-            body.searchers.push_back(searcherEntry(item));
+            SearcherEntry entry = searcherEntry(item);
+            if (item.has("expires_ms")) {
+                body.expiring[entry.id] = item.milliseconds("expires_ms", Duration::zero(), MaximumReportedDuration);
+            }
             item.rejectUnknown();
+            body.searchers.push_back(std::move(entry));
         }
         return body;
     }
--- a/src/quetzallift/model/peermessage.h
+++ b/src/quetzallift/model/peermessage.h
@@ -4,6 +4,7 @@
 #include "quetzallift/model/platform.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -89,6 +90,8 @@
     std::uint64_t configurationVersion = 0;
     std::uint64_t searchersVersion = 0;
     bool withSearchers = true;
+    // The listed searchers whose entries are gone from the store, by id, and how much longer the sender keeps each.
+    std::map<std::string, Duration> expiring = {};
 };
 
 // Sent by the store reader of a data centre to its other serving hosts after each complete read of the store; also
--- a/tests/edge/peercodec_test.cpp
+++ b/tests/edge/peercodec_test.cpp
@@ -82,3 +82,16 @@
     cr_assert(reported.entry.id == "x" && reported.entry.draining && reported.entry.startedAtMs == 9U);
     cr_assert(reported.coldFor == std::chrono::milliseconds(250));
 }
+
+// Guards against tables whose receiver takes a searcher that is about to be dropped for a live one.
+Test(peercodec, tablesReplyRoundTripsWithExpiringSearchers)
+{
+    TablesReply reply;
+    reply.searchersVersion = 6;
+    reply.searchers = {{"x", "s", "10.0.0.2:80", "a", 2, false, {}, 9}, {"y", "s", "10.0.0.3:80", "a", 2, false, {}, 9}};
+    reply.expiring["x"] = std::chrono::milliseconds(600);
+    const TablesReply read = std::get<TablesReply>(roundTrip(reply).body);
+    cr_assert_eq(read.searchers.size(), 2U);
+    cr_assert_eq(read.expiring.size(), 1U);
+    cr_assert(read.expiring.at("x") == std::chrono::milliseconds(600));
+}
