Keep newer searchers when older tables or lists arrive late

Cause: the age in a peer's tables does not include the time that the message waits, as while its sender is frozen, so that tables of an older store version could seem to be newer and replaced the later ones. A list of the store whose reply arrived after a peer's later tables replaced these too, until the next watch.

Change: tables and lists of an older store version than the host's are not applied. The version only grows.

--- a/src/quetzallift/control/discovery/relay.cpp
+++ b/src/quetzallift/control/discovery/relay.cpp
@@ -100,8 +100,10 @@
     }
     const TimePoint readAt = context.now - reply.age;
     const bool hasLaterVersion = reply.searchersVersion > discovery.searchersVersion && discovery.searchersVersion != 0;
+    // The age does not include the time that the message waited, as while the sender was frozen.
+    const bool hasOlderVersion = reply.searchersVersion != 0 && reply.searchersVersion < discovery.searchersVersion;
     const bool hasLaterRead = !discovery.searchersReadAt || readAt > *discovery.searchersReadAt + AgeMargin;
-    if (!reply.withSearchers || !(hasLaterVersion || hasLaterRead)) {
+    if (!reply.withSearchers || hasOlderVersion || !(hasLaterVersion || hasLaterRead)) {
         return;
     }
     applyPeerSearchers(context, reply, readAt);
--- a/src/quetzallift/control/discovery/searchers.cpp
+++ b/src/quetzallift/control/discovery/searchers.cpp
@@ -122,6 +122,12 @@
         return;
     }
     discovery.lastListedName.clear();
+    if (discovery.searchersVersion > discovery.listVersion) {
+        // A peer's later tables were applied during the call.
+        discovery.listing.clear();
+        watchSearchers(context);
+        return;
+    }
     discovery.searchersVersion = discovery.listVersion;
     recordStoreRead(context, context.now);
     std::vector<std::string> missing;
--- a/tests/control/peertables_test.cpp
+++ b/tests/control/peertables_test.cpp
@@ -108,3 +108,38 @@
     restarted.pass(LongerThanGrace);
     cr_assert(restarted.hasSearcher("x"));
 }
+
+// Guards against a host that uses a searcher again which had left, because a peer's older tables waited in the connection and
+// seemed to be newer than they are.
+Test(peertables, olderTablesDoNotReplaceNewerOnes)
+{
+    PeerFixture host;
+    host.answerInitialReads({"x", "y", "z"});
+    TablesReply older;
+    older.searchersVersion = 5;
+    for (const ReportedSearcher &reported : DiscoveryFixture::page({"x", "y", "z"}).entries) {
+        older.searchers.push_back(reported.entry);
+    }
+    SearcherPage changes;
+    changes.removed = {"x"};
+    host.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 6, changes);
+    host.now += std::chrono::seconds(4);
+    host.receive(older);
+    cr_assert_not(host.hasSearcher("x"));
+    cr_assert_eq(host.state.control.discovery.searchersVersion, 6U);
+}
+
+// Guards against a host that uses a searcher again which had left, because a list of the store arrived after a peer's later tables.
+Test(peertables, lateListDoesNotReplaceLaterTables)
+{
+    PeerFixture host;
+    host.answer(PlatformVerb::ReadConfiguration, PlatformOutcome::Applied, 4, DiscoveryFixture::routes(3));
+    TablesReply later;
+    later.searchersVersion = 6;
+    later.searchers.push_back(DiscoveryFixture::page({"y"}).entries.at(0).entry);
+    host.receive(later);
+    host.answer(PlatformVerb::ListSearchers, PlatformOutcome::Applied, 5, DiscoveryFixture::page({"x", "y"}));
+    cr_assert_not(host.hasSearcher("x"));
+    cr_assert_eq(host.state.control.discovery.searchersVersion, 6U);
+    cr_assert_eq(host.calls.back().request.version, 6U);
+}
