Read requests with Boost.Beast's parser, without a pool of fixed size

Cause: libmicrohttpd takes the bytes of a request, a record for each argument, cookie and header, and the headers of the answer from a pool of 32 KiB. When the last did not fit, it closed the connection after the work was done.

Change: HttpServer accepts and reads over ACE sockets with Boost.Beast's parser, which takes memory only for what was received. The limit on the head is the one of the configuration in force. The interface of HttpServer and HttpExchange is unchanged, but for a hook with that limit. CloseWatch is gone, since a connection is watched while its request is answered.

--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -20,11 +20,13 @@
     , m_protocol(std::move(protocol))
     , m_postToControl(std::move(postToControl))
     , m_upstream(m_loop, upstreamHooks())
-    , m_clients(m_loop,
-                settings.host.address,
-                [this](const HttpExchangePtr &exchange) {
-                    handleRequest(exchange);
-                })
+    , m_clients(
+          m_loop,
+          settings.host.address,
+          [this](const HttpExchangePtr &exchange) {
+              handleRequest(exchange);
+          },
+          clientHooks())
     , m_directory(m_loop,
                   settings.routes->directoryAddress,
                   [this](const HttpExchangePtr &exchange) {
@@ -74,6 +76,16 @@
     return hooks;
 }
 
+ConnectionHooks RoutingThread::clientHooks()
+{
+    ConnectionHooks hooks;
+    hooks.headLimit = [this] {
+        const ControlSnapshotPtr &control = m_loop.state().query.control;
+        return control && control->routes ? control->routes->limits.headerBytes : ClientLimits().headerBytes;
+    };
+    return hooks;
+}
+
 void RoutingThread::start()
 {
     m_thread = std::thread([this] {
--- a/src/quetzallift/app/routingthread.h
+++ b/src/quetzallift/app/routingthread.h
@@ -31,6 +31,8 @@
     };
 
     UpstreamClient::Hooks upstreamHooks();
+    // Limits clients' requests as the configuration in force states.
+    ConnectionHooks clientHooks();
     void handleRequest(const HttpExchangePtr &exchange);
     bool isReady() const;
     void carryOut(const Effect &effect);
--- a/src/quetzallift/edge/connectionhooks.h
+++ b/src/quetzallift/edge/connectionhooks.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -12,5 +13,8 @@
     // Called with the remote address as "ip:port".
     std::function<void(const std::string &peer)> opened;
     std::function<void(const std::string &peer)> closed;
+    // The greatest size of a request line and its headers together, in bytes; 32 KiB if the hook is empty. Larger requests are
+    // answered 431.
+    std::function<std::size_t()> headLimit;
 };
 }
--- a/src/quetzallift/edge/httpexchange.cpp
+++ b/src/quetzallift/edge/httpexchange.cpp
@@ -1,67 +1,65 @@
 #include "quetzallift/edge/httpexchange.h"
 
-#include "quetzallift/edge/socketaddress.h"
+#include "quetzallift/edge/serverconnection.h"
 
-#include <microhttpd.h>
+#include <boost/beast/core/string.hpp>
+#include <curl/curl.h>
 
+#include <algorithm>
+#include <memory>
+#include <string_view>
 #include <utility>
 
 namespace Quetzallift
 {
 namespace
 {
-MHD_Result collectArgument(void *context, MHD_ValueKind, const char *name, const char *value)
+// Decodes percent-encoded bytes.
+std::string unescape(std::string_view text)
 {
-    auto &arguments = *static_cast<std::map<std::string, std::string> *>(context);
-    arguments[name] = value != nullptr ? value : "";
-    return MHD_YES;
+    // libcurl takes a length of 0 for a string that ends with a null byte.
+    if (text.empty()) {
+        return {};
+    }
+    int size = 0;
+    const std::unique_ptr<char, decltype(&curl_free)> decoded(curl_easy_unescape(nullptr, text.data(), static_cast<int>(text.size()), &size), &curl_free);
+    return decoded == nullptr ? std::string() : std::string(decoded.get(), static_cast<std::size_t>(size));
 }
 
-MHD_Result collectHeader(void *context, MHD_ValueKind, const char *name, const char *value)
+// Decodes a name or value of a query string, in which a plus sign stands for a space.
+std::string unescapeArgument(std::string_view text)
 {
-    auto &headers = *static_cast<std::vector<Header> *>(context);
-    headers.push_back({name, value != nullptr ? value : ""});
-    return MHD_YES;
+    std::string spaced(text);
+    std::replace(spaced.begin(), spaced.end(), '+', ' ');
+    return unescape(spaced);
 }
 }
 
-HttpExchange::HttpExchange(MHD_Connection *connection, std::string target, Duration waited)
-    : m_connection(connection)
-    , m_target(std::move(target))
+HttpExchange::HttpExchange(ServerConnection &connection, HttpServerRequest request, Duration waited)
+    : m_connection(&connection)
+    , m_request(std::move(request))
+    , m_peer(connection.peer())
     , m_waited(waited)
-{
-    const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-    if (info != nullptr) {
-        m_peer = formatAddress(*info->client_addr);
-    }
-}
-
-void HttpExchange::start(const char *method, const char *path)
-{
-    m_started = true;
-    m_method = method;
-    m_path = path;
-    MHD_get_connection_values(m_connection, MHD_GET_ARGUMENT_KIND, &collectArgument, &m_arguments);
-}
+{ }
 
 const std::string &HttpExchange::method() const
 {
-    return m_method;
+    return m_request.method;
 }
 
-const std::string &HttpExchange::path() const
+std::string HttpExchange::path() const
 {
-    return m_path;
+    return unescape(std::string_view(m_request.target).substr(0, m_request.target.find('?')));
 }
 
 const std::string &HttpExchange::target() const
 {
-    return m_target;
+    return m_request.target;
 }
 
 const std::string &HttpExchange::body() const
 {
-    return m_body;
+    return m_request.body;
 }
 
 Duration HttpExchange::waited() const
@@ -76,38 +74,42 @@
 
 std::string HttpExchange::argument(const std::string &name) const
 {
-    const auto found = m_arguments.find(name);
-    return found == m_arguments.end() ? std::string() : found->second;
+    std::string value;
+    const std::size_t mark = m_request.target.find('?');
+    std::string_view rest = mark == std::string::npos ? std::string_view() : std::string_view(m_request.target).substr(mark + 1);
+    while (!rest.empty()) {
+        const std::string_view pair = rest.substr(0, rest.find('&'));
+        const std::size_t equals = std::min(pair.find('='), pair.size());
+        if (unescapeArgument(pair.substr(0, equals)) == name) {
+            value = unescapeArgument(pair.substr(std::min(equals + 1, pair.size())));
+        }
+        rest.remove_prefix(std::min(pair.size() + 1, rest.size()));
+    }
+    return value;
 }
 
 std::string HttpExchange::header(const std::string &name) const
 {
-    if (m_connection == nullptr) {
-        return {};
-    }
-    const char *value = MHD_lookup_connection_value(m_connection, MHD_HEADER_KIND, name.c_str());
-    return value != nullptr ? value : "";
+    const auto found = std::find_if(m_request.headers.begin(), m_request.headers.end(), [&name](const Header &header) {
+        return boost::beast::iequals(header.name, name);
+    });
+    return found == m_request.headers.end() ? std::string() : found->value;
 }
 
-std::vector<Header> HttpExchange::headers() const
+const std::vector<Header> &HttpExchange::headers() const
 {
-    std::vector<Header> headers;
-    if (m_connection != nullptr) {
-        MHD_get_connection_values(m_connection, MHD_HEADER_KIND, &collectHeader, &headers);
-    }
-    return headers;
+    return m_request.headers;
 }
 
 void HttpExchange::respondWith(unsigned status, const std::vector<Header> &headers, std::string body)
 {
-    if (m_responded || m_connection == nullptr) {
+    if (m_connection == nullptr) {
         return;
     }
-    m_responded = true;
-    m_status = status;
-    m_response = std::move(body);
-    m_headers.insert(m_headers.end(), headers.begin(), headers.end());
-    resume();
+    m_response.status = status;
+    m_response.body = std::move(body);
+    m_response.headers.insert(m_response.headers.end(), headers.begin(), headers.end());
+    m_connection->finishExchange();
 }
 
 void HttpExchange::respond(unsigned status, std::string body, const std::string &contentType)
@@ -117,29 +119,42 @@
 
 void HttpExchange::drop()
 {
-    if (m_responded || m_connection == nullptr) {
-        return;
+    if (m_connection != nullptr) {
+        m_dropped = true;
+        m_connection->finishExchange();
     }
-    m_responded = true;
-    m_dropped = true;
-    resume();
 }
 
-void HttpExchange::resume()
+void HttpExchange::addHeader(std::string name, std::string value)
+{
+    m_response.headers.push_back({std::move(name), std::move(value)});
+}
+
+void HttpExchange::setClosedHandler(std::function<void()> handler)
+{
+    m_closedHandler = std::move(handler);
+}
+
+void HttpExchange::reportClosed()
 {
-    if (m_suspended.is_linked()) {
-        m_suspended.unlink();
-        m_resumeConnection();
+    if (const std::function<void()> handler = std::exchange(m_closedHandler, nullptr)) {
+        handler();
     }
 }
 
-void HttpExchange::addHeader(std::string name, std::string value)
+void HttpExchange::detach()
 {
-    m_headers.push_back({std::move(name), std::move(value)});
+    m_connection = nullptr;
+    m_closedHandler = nullptr;
 }
 
-void HttpExchange::setClosedHandler(std::function<void()> handler)
+bool HttpExchange::isDropped() const
 {
-    m_closedHandler = std::move(handler);
+    return m_dropped;
+}
+
+const HttpServerResponse &HttpExchange::response() const
+{
+    return m_response;
 }
 }
--- a/src/quetzallift/edge/httpexchange.h
+++ b/src/quetzallift/edge/httpexchange.h
@@ -1,31 +1,30 @@
 #pragma once
 
-#include "quetzallift/model/clientrequest.h"
+#include "quetzallift/edge/requestreader.h"
+#include "quetzallift/edge/responsewriter.h"
 #include "quetzallift/model/time.h"
 
-#include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
-struct MHD_Connection;
-
 namespace Quetzallift
 {
+class ServerConnection;
+
 // One request to an HttpServer and its response. Used on the server's thread only.
 class HttpExchange : public boost::intrusive_ref_counter<HttpExchange, boost::thread_unsafe_counter>
 {
 public:
-    // Constructed when the request line has been read; the target is its path and query string. The request waited in the
-    // socket for the given time before.
-    HttpExchange(MHD_Connection *connection, std::string target, Duration waited);
+    // The request waited in the socket for the given time before it was read.
+    HttpExchange(ServerConnection &connection, HttpServerRequest request, Duration waited);
 
     const std::string &method() const;
-    const std::string &path() const;
+    // The path with percent-encoded bytes decoded.
+    std::string path() const;
     // Path and query string as received.
     const std::string &target() const;
     const std::string &body() const;
@@ -36,14 +35,14 @@
     // The remote address of the connection, as "ip:port".
     const std::string &peer() const;
 
-    // The value of an argument of the query string, or empty.
+    // The decoded value of an argument of the query string, or empty.
     std::string argument(const std::string &name) const;
 
-    // The value of a request header, or empty. Always empty once the request has ended.
+    // The value of a request header, or empty.
     std::string header(const std::string &name) const;
 
-    // All request headers in the order received. Empty once the request has ended.
-    std::vector<Header> headers() const;
+    // All request headers in the order received.
+    const std::vector<Header> &headers() const;
 
     // Sends the response. Does nothing if a response was sent already or the connection is closed.
     void respond(unsigned status, std::string body, const std::string &contentType = "application/json");
@@ -61,37 +60,23 @@
     void setClosedHandler(std::function<void()> handler);
 
 private:
-    friend class HttpServerCallbacks;
-
-    // Stores the method, path and arguments once the headers are complete.
-    void start(const char *method, const char *path);
-
-    // Resumes the connection if it is suspended, so that the server sends the response.
-    void resume();
-
-    using Hook = boost::intrusive::list_member_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
-
-    MHD_Connection *m_connection;
-    std::string m_target;
-    Duration m_waited;
-    bool m_started = false;
-    std::string m_method;
-    std::string m_path;
+    friend class ServerConnection;
+
+    // Called by the connection when it closes before the response was given; calls the closed handler.
+    void reportClosed();
+    // Called by the connection when the exchange has ended for it.
+    void detach();
+    bool isDropped() const;
+    const HttpServerResponse &response() const;
+
+    // Null once the response was given or the connection has closed.
+    ServerConnection *m_connection;
+    HttpServerRequest m_request;
     std::string m_peer;
-    std::string m_body;
-    std::map<std::string, std::string> m_arguments;
-    std::vector<Header> m_headers;
+    Duration m_waited;
     std::function<void()> m_closedHandler;
-    // Resumes the connection in the server; called once the response is known.
-    std::function<void()> m_resumeConnection;
-    bool m_bodyTooLarge = false;
-    bool m_handled = false;
-    // Linked while the connection is suspended.
-    Hook m_suspended;
-    bool m_responded = false;
     bool m_dropped = false;
-    unsigned m_status = 0;
-    std::string m_response;
+    HttpServerResponse m_response;
 };
 
 using HttpExchangePtr = boost::intrusive_ptr<HttpExchange>;
--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -1,316 +1,226 @@
 #include "quetzallift/edge/httpserver.h"
 
-#include "quetzallift/edge/closewatch.h"
 #include "quetzallift/edge/eventloop.h"
+#include "quetzallift/edge/serverconnection.h"
 #include "quetzallift/edge/socketaddress.h"
 #include "quetzallift/model/error.h"
 
 #include <ace/Event_Handler.h>
-#include <microhttpd.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <utility>
 
 namespace Quetzallift
 {
 namespace
 {
-// The largest queries and bundle parts are far smaller.
-constexpr std::size_t MaximumBodySize = 1024U * 1024U;
-constexpr unsigned IdleTimeoutSeconds = 120;
+constexpr std::size_t DefaultHeadLimit = 32768;
+constexpr Duration IdleTimeout = std::chrono::seconds(120);
+constexpr Duration IdleCheckInterval = std::chrono::seconds(30);
 // Half of the file descriptors that a small host has.
-constexpr unsigned MaximumConnections = 2000;
-
-// The time since the kernel last received data on the connection; zero if the kernel does not report it.
-Duration timeSinceLastData(MHD_Connection *connection)
+constexpr std::size_t MaximumConnections = 2000;
+constexpr int ListenBacklog = 1024;
+// Other sockets of the loop are served between these.
+constexpr int MaximumAcceptsPerEvent = 64;
+// How long nothing is accepted after the limit of connections or of file descriptors was reached.
+constexpr Duration AcceptPause = std::chrono::milliseconds(100);
+
+ACE_HANDLE listenOn(const std::string &address)
 {
-    const MHD_socket socket = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-    tcp_info info{};
-    socklen_t size = sizeof(info);
-    const bool known = getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
-    return std::chrono::milliseconds(known ? info.tcpi_last_data_recv : 0);
+    const sockaddr_in socketAddress = parseAddress(address);
+    const int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    if (handle < 0 || setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 || setsockopt(handle, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) != 0
+        || bind(handle, reinterpret_cast<const sockaddr *>(&socketAddress), sizeof(socketAddress)) != 0 || listen(handle, ListenBacklog) != 0) {
+        if (handle >= 0) {
+            close(handle);
+        }
+        throw Error(Step::Settings, address, "cannot listen on this address");
+    }
+    return handle;
 }
 }
 
-// The libmicrohttpd callbacks of one server.
-class HttpServerCallbacks
+// Accepts connections and owns them.
+class HttpServer::Listener : public ACE_Event_Handler
 {
 public:
-    HttpServerCallbacks(ACE_Reactor &reactor, HttpServer::Handler handler, ConnectionHooks hooks, std::function<void()> scheduleRun)
-        : m_handler(std::move(handler))
+    Listener(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks)
+        : m_loop(loop)
         , m_hooks(std::move(hooks))
-        , m_scheduleRun(std::move(scheduleRun))
-        , m_closeWatch(reactor)
-    { }
-
-    // Closes the suspended connections, and later each connection on which another request arrives, since libmicrohttpd
-    // cannot stop while connections are suspended. No response is sent, because the outcome of the request is unknown.
-    void closeConnections()
-    {
-        m_shuttingDown = true;
-        while (!m_suspended.empty()) {
-            m_suspended.front().drop();
-        }
-    }
-
-    // Called when the request line was read. The other callbacks receive the returned exchange in their slot argument.
-    static void *onTarget(void *, const char *target, MHD_Connection *connection)
+        , m_listening(listenOn(address))
     {
-        auto *exchange = new HttpExchange(connection, target, timeSinceLastData(connection));
-        intrusive_ptr_add_ref(exchange);
-        return exchange;
+        m_connectionHooks.requested = std::move(handler);
+        m_connectionHooks.headLimit = m_hooks.headLimit ? m_hooks.headLimit : [] {
+            return DefaultHeadLimit;
+        };
+        m_connectionHooks.closed = [this](ServerConnection &connection) {
+            release(connection);
+        };
+        m_loop.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
     }
 
-    static MHD_Result
-    onRequest(void *context, MHD_Connection *, const char *url, const char *method, const char *, const char *uploadData, std::size_t *uploadSize, void **slot)
+    ~Listener() override
     {
-        auto *exchange = static_cast<HttpExchange *>(*slot);
-        if (!exchange->m_started) {
-            exchange->start(method, url);
-            return MHD_YES;
-        }
-        if (*uploadSize > 0) {
-            appendUpload(*exchange, uploadData, *uploadSize);
-            *uploadSize = 0;
-            return MHD_YES;
-        }
-        auto *self = static_cast<HttpServerCallbacks *>(context);
-        if (self->m_shuttingDown && !exchange->m_responded) {
-            return MHD_NO;
-        }
-        if (!exchange->m_handled) {
-            self->handle(*exchange);
+        *m_alive = false;
+        closeListeningSocket();
+        while (!m_connections.empty()) {
+            m_connections.front().close();
         }
-        return exchange->m_responded ? queueResponse(*exchange) : self->suspend(*exchange);
     }
 
-    static MHD_Result onAccept(void *context, const sockaddr *, socklen_t)
+    Listener(const Listener &) = delete;
+    Listener &operator=(const Listener &) = delete;
+
+    void stopListening()
     {
-        const ConnectionHooks &hooks = static_cast<HttpServerCallbacks *>(context)->m_hooks;
-        return !hooks.accept || hooks.accept() ? MHD_YES : MHD_NO;
+        // The kernel resets the connections that are still waiting to be accepted.
+        while (m_listening != ACE_INVALID_HANDLE && m_connectionCount < MaximumConnections && acceptOne()) { }
+        closeListeningSocket();
     }
 
-    static void onConnection(void *context, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
+    ACE_HANDLE get_handle() const override
     {
-        const ConnectionHooks &hooks = static_cast<HttpServerCallbacks *>(context)->m_hooks;
-        const auto &hook = code == MHD_CONNECTION_NOTIFY_STARTED ? hooks.opened : hooks.closed;
-        if (hook) {
-            hook(formatAddress(*MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS)->client_addr));
-        }
+        return m_listening;
     }
 
-    static void onCompleted(void *, MHD_Connection *, void **slot, MHD_RequestTerminationCode)
+    int handle_input(ACE_HANDLE) override
     {
-        auto *exchange = static_cast<HttpExchange *>(*slot);
-        *slot = nullptr;
-        if (exchange == nullptr) {
-            return;
-        }
-        exchange->m_connection = nullptr;
-        if (!exchange->m_responded && exchange->m_closedHandler) {
-            exchange->m_closedHandler();
+        for (int accepted = 0; accepted < MaximumAcceptsPerEvent; ++accepted) {
+            if (m_connectionCount >= MaximumConnections) {
+                pauseAccepting();
+                return 0;
+            }
+            if (!acceptOne()) {
+                return 0;
+            }
         }
-        exchange->m_closedHandler = nullptr;
-        intrusive_ptr_release(exchange);
+        return 0;
     }
 
 private:
-    static void appendUpload(HttpExchange &exchange, const char *data, std::size_t size)
+    // Returns false if no connection can be accepted now.
+    bool acceptOne()
     {
-        exchange.m_bodyTooLarge = exchange.m_bodyTooLarge || exchange.m_body.size() + size > MaximumBodySize;
-        if (!exchange.m_bodyTooLarge) {
-            exchange.m_body.append(data, size);
+        sockaddr_in address{};
+        socklen_t size = sizeof(address);
+        const int socket = accept4(m_listening, reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket >= 0) {
+            adopt(socket, formatAddress(reinterpret_cast<const sockaddr &>(address)));
+            return true;
+        }
+        if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
+            // The listening socket stays readable, which would wake the loop again at once.
+            pauseAccepting();
         }
+        return false;
     }
 
-    void handle(HttpExchange &exchange)
+    void adopt(ACE_HANDLE socket, const std::string &peer)
     {
-        exchange.m_handled = true;
-        if (exchange.m_bodyTooLarge) {
-            exchange.respond(MHD_HTTP_CONTENT_TOO_LARGE, R"({"error":"the request body exceeds the limit of 1 MiB","step":"admit"})");
+        const ServerConnectionPtr connection(new ServerConnection(m_loop, socket, peer, m_connectionHooks));
+        if ((m_hooks.accept && !m_hooks.accept()) || !connection->start()) {
             return;
         }
-        m_handler(HttpExchangePtr(&exchange));
+        const int on = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        intrusive_ptr_add_ref(connection.get());
+        m_connections.push_back(*connection);
+        ++m_connectionCount;
+        if (m_hooks.opened) {
+            m_hooks.opened(peer);
+        }
+        scheduleIdleCheck();
     }
 
-    MHD_Result suspend(HttpExchange &exchange)
+    void release(ServerConnection &connection)
     {
-        m_suspended.push_back(exchange);
-        const MHD_socket socket = MHD_get_connection_info(exchange.m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
-        exchange.m_resumeConnection = [this, socket, connection = exchange.m_connection] {
-            m_closeWatch.remove(socket);
-            MHD_resume_connection(connection);
-            m_scheduleRun();
-        };
-        m_closeWatch.add(socket, [&exchange] {
-            closeSuspended(exchange);
+        constexpr bool AddReference = true;
+        connection.hook.unlink();
+        --m_connectionCount;
+        if (m_hooks.closed) {
+            m_hooks.closed(connection.peer());
+        }
+        // Released from the loop, since functions of the connection may be running.
+        m_loop.callAt(Clock::now(), [kept = ServerConnectionPtr(&connection, !AddReference)] {
         });
-        MHD_suspend_connection(exchange.m_connection);
-        return MHD_YES;
     }
 
-    // Ends a suspended request whose peer closed the connection.
-    static void closeSuspended(HttpExchange &exchange)
+    void pauseAccepting()
     {
-        const HttpExchangePtr kept(&exchange);
-        const std::function<void()> handler = std::move(exchange.m_closedHandler);
-        exchange.m_closedHandler = nullptr;
-        if (handler) {
-            handler();
-        }
-        exchange.drop();
+        m_loop.reactor().mask_ops(this, ACE_Event_Handler::READ_MASK, ACE_Reactor::CLR_MASK);
+        m_loop.callAt(Clock::now() + AcceptPause, [this, alive = m_alive] {
+            if (*alive && m_listening != ACE_INVALID_HANDLE) {
+                m_loop.reactor().mask_ops(this, ACE_Event_Handler::READ_MASK, ACE_Reactor::ADD_MASK);
+            }
+        });
     }
 
-    static MHD_Result queueResponse(HttpExchange &exchange)
+    void scheduleIdleCheck()
     {
-        if (exchange.m_dropped) {
-            return MHD_NO;
-        }
-        MHD_Response *response = MHD_create_response_from_buffer(exchange.m_response.size(), exchange.m_response.data(), MHD_RESPMEM_MUST_COPY);
-        for (const Header &header : exchange.m_headers) {
-            MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+        if (m_idleCheckScheduled) {
+            return;
         }
-        const MHD_Result result = MHD_queue_response(exchange.m_connection, exchange.m_status, response);
-        MHD_destroy_response(response);
-        return result;
+        m_idleCheckScheduled = true;
+        m_loop.callAt(Clock::now() + IdleCheckInterval, [this, alive = m_alive] {
+            if (*alive) {
+                m_idleCheckScheduled = false;
+                closeIdleConnections();
+            }
+        });
     }
 
-    using SuspendedList = boost::intrusive::list<HttpExchange,
-                                                 boost::intrusive::member_hook<HttpExchange, HttpExchange::Hook, &HttpExchange::m_suspended>,
-                                                 boost::intrusive::constant_time_size<false>>;
-
-    HttpServer::Handler m_handler;
-    ConnectionHooks m_hooks;
-    std::function<void()> m_scheduleRun;
-    CloseWatch m_closeWatch;
-    SuspendedList m_suspended;
-    bool m_shuttingDown = false;
-};
-
-// Runs a libmicrohttpd daemon whose epoll descriptor is registered with the reactor.
-class HttpServer::Daemon : public ACE_Event_Handler
-{
-public:
-    Daemon(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks)
-        : m_loop(loop)
-        , m_callbacks(loop.reactor(), std::move(handler), std::move(hooks), [this] {
-            scheduleRun(Clock::now());
-        })
+    void closeIdleConnections()
     {
-        const sockaddr_in socketAddress = parseAddress(address);
-        m_daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
-                                    0,
-                                    &HttpServerCallbacks::onAccept,
-                                    &m_callbacks,
-                                    &HttpServerCallbacks::onRequest,
-                                    &m_callbacks,
-                                    MHD_OPTION_SOCK_ADDR,
-                                    &socketAddress,
-                                    MHD_OPTION_LISTENING_ADDRESS_REUSE,
-                                    1U,
-                                    MHD_OPTION_LISTEN_BACKLOG_SIZE,
-                                    1024U,
-                                    MHD_OPTION_CONNECTION_TIMEOUT,
-                                    IdleTimeoutSeconds,
-                                    MHD_OPTION_CONNECTION_LIMIT,
-                                    MaximumConnections,
-                                    MHD_OPTION_URI_LOG_CALLBACK,
-                                    &HttpServerCallbacks::onTarget,
-                                    &m_callbacks,
-                                    MHD_OPTION_NOTIFY_COMPLETED,
-                                    &HttpServerCallbacks::onCompleted,
-                                    nullptr,
-                                    MHD_OPTION_NOTIFY_CONNECTION,
-                                    &HttpServerCallbacks::onConnection,
-                                    &m_callbacks,
-                                    MHD_OPTION_END);
-        if (m_daemon == nullptr) {
-            throw Error(Step::Settings, address, "cannot listen on this address");
+        const TimePoint limit = Clock::now() - IdleTimeout;
+        for (auto next = m_connections.begin(); next != m_connections.end();) {
+            ServerConnection &connection = *next++;
+            if (connection.isIdleSince(limit)) {
+                connection.close();
+            }
         }
-        m_handle = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-        m_loop.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
-    }
-
-    ~Daemon() override
-    {
-        *m_alive = false;
-        m_loop.reactor().remove_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
-        stopListening();
-        m_callbacks.closeConnections();
-        MHD_run(m_daemon);
-        MHD_stop_daemon(m_daemon);
-    }
-
-    Daemon(const Daemon &) = delete;
-    Daemon &operator=(const Daemon &) = delete;
-
-    void stopListening()
-    {
-        const MHD_socket listening = MHD_quiesce_daemon(m_daemon);
-        if (listening != MHD_INVALID_SOCKET) {
-            close(listening);
+        if (!m_connections.empty()) {
+            scheduleIdleCheck();
         }
     }
 
-    ACE_HANDLE get_handle() const override
-    {
-        return m_handle;
-    }
-
-    int handle_input(ACE_HANDLE) override
-    {
-        runDaemon();
-        return 0;
-    }
-
-private:
-    // Runs the daemon, and schedules the next run for the time that the daemon asks for: its epoll descriptor is
-    // edge-triggered internally, so that unfinished work does not wake the reactor.
-    void runDaemon()
+    void closeListeningSocket()
     {
-        MHD_run(m_daemon);
-        MHD_UNSIGNED_LONG_LONG waitMs = 0;
-        if (MHD_get_timeout(m_daemon, &waitMs) == MHD_YES) {
-            scheduleRun(Clock::now() + std::chrono::milliseconds(waitMs));
+        if (m_listening != ACE_INVALID_HANDLE) {
+            m_loop.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+            ::close(m_listening);
+            m_listening = ACE_INVALID_HANDLE;
         }
     }
 
-    // Runs the daemon at the given time, unless an earlier run is scheduled.
-    void scheduleRun(TimePoint at)
-    {
-        if (m_timerSet && m_timerAt <= at) {
-            return;
-        }
-        m_timerSet = true;
-        m_timerAt = at;
-        m_loop.callAt(at, [this, at, alive = m_alive] {
-            if (*alive && m_timerSet && m_timerAt == at) {
-                m_timerSet = false;
-                runDaemon();
-            }
-        });
-    }
+    using ConnectionList = boost::intrusive::list<ServerConnection,
+                                                  boost::intrusive::member_hook<ServerConnection, ServerConnection::Hook, &ServerConnection::hook>,
+                                                  boost::intrusive::constant_time_size<false>>;
 
     EventLoop &m_loop;
-    HttpServerCallbacks m_callbacks;
-    MHD_Daemon *m_daemon = nullptr;
-    ACE_HANDLE m_handle = ACE_INVALID_HANDLE;
-    bool m_timerSet = false;
-    TimePoint m_timerAt;
+    ConnectionHooks m_hooks;
+    ACE_HANDLE m_listening;
+    ServerConnection::Hooks m_connectionHooks;
+    // The open connections. The list holds a reference to each.
+    ConnectionList m_connections;
+    std::size_t m_connectionCount = 0;
+    bool m_idleCheckScheduled = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 HttpServer::HttpServer(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks)
-    : m_daemon(std::make_unique<Daemon>(loop, address, std::move(handler), std::move(hooks)))
+    : m_listener(std::make_unique<Listener>(loop, address, std::move(handler), std::move(hooks)))
 { }
 
 HttpServer::~HttpServer() = default;
 
 void HttpServer::stopListening()
 {
-    m_daemon->stopListening();
+    m_listener->stopListening();
 }
 }
--- a/src/quetzallift/edge/httpserver.h
+++ b/src/quetzallift/edge/httpserver.h
@@ -11,8 +11,8 @@
 {
 class EventLoop;
 
-// Serves HTTP on one address with libmicrohttpd, driven by the reactor of one thread. Several servers may listen on the
-// same address; the kernel distributes the connections among them.
+// Serves HTTP on one address, driven by the reactor of one thread. Several servers may listen on the same address; the kernel
+// distributes the connections among them.
 class HttpServer
 {
 public:
@@ -29,7 +29,7 @@
     void stopListening();
 
 private:
-    class Daemon;
-    std::unique_ptr<Daemon> m_daemon;
+    class Listener;
+    std::unique_ptr<Listener> m_listener;
 };
 }
--- /dev/null
+++ b/src/quetzallift/edge/requestreader.cpp
@@ -0,0 +1,116 @@
+#include "quetzallift/edge/requestreader.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace Quetzallift
+{
+namespace
+{
+namespace Http = boost::beast::http;
+
+constexpr unsigned VersionHttp10 = 10;
+
+// Some clients send an empty line after the body of their previous request (RFC 9112, section 2.2).
+void skipEmptyLines(std::string &bytes)
+{
+    bytes.erase(0, std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+}
+
+std::string toString(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+}
+
+class RequestReader::Parser : public Http::request_parser<Http::string_body>
+{
+};
+
+RequestReader::RequestReader(std::size_t headLimit, std::size_t bodyLimit)
+    : m_parser(std::make_unique<Parser>())
+    , m_headLimit(headLimit)
+{
+    // The parser's own limit on headers is not exact.
+    m_parser->header_limit(UINT32_MAX);
+    m_parser->body_limit(bodyLimit);
+}
+
+RequestReader::~RequestReader() = default;
+
+RequestReader::State RequestReader::consume(std::string &bytes)
+{
+    if (!m_parser->got_some()) {
+        skipEmptyLines(bytes);
+    }
+    while (!bytes.empty()) {
+        boost::beast::error_code error;
+        const std::size_t read = m_parser->put(boost::asio::buffer(bytes), error);
+        bytes.erase(0, read);
+        if (!m_headComplete) {
+            m_headSize += read;
+            const std::size_t unread = m_parser->is_header_done() ? 0 : bytes.size();
+            if (m_headSize + unread > m_headLimit) {
+                return State::HeadTooLarge;
+            }
+        }
+        if (error == Http::error::need_more) {
+            return State::Reading;
+        }
+        if (error) {
+            m_errorDescription = error.message();
+            return error == Http::error::body_limit ? State::BodyTooLarge : State::Invalid;
+        }
+        if (m_parser->is_header_done() && !m_headComplete) {
+            readHead();
+        }
+        if (!m_errorDescription.empty()) {
+            return State::Invalid;
+        }
+        if (m_parser->is_done()) {
+            m_request.body = std::move(m_parser->get().body());
+            return State::Complete;
+        }
+    }
+    return State::Reading;
+}
+
+// Called before the parser reads trailers, which it would add to the headers.
+void RequestReader::readHead()
+{
+    m_headComplete = true;
+    const auto &message = m_parser->get();
+    m_request.method = toString(message.method_string());
+    m_request.target = toString(message.target());
+    m_request.keepAlive = message.keep_alive();
+    m_request.isHttp10 = message.version() == VersionHttp10;
+    for (const auto &field : message) {
+        m_request.headers.push_back({toString(field.name_string()), toString(field.value())});
+    }
+    if (message.count(Http::field::transfer_encoding) > 0 && !m_parser->chunked()) {
+        // The end of the body is unknown, so that its bytes could be taken for another request.
+        m_errorDescription = "the transfer encoding is not supported";
+    }
+    m_expectsContinue = !m_request.isHttp10 && boost::beast::iequals(message[Http::field::expect], "100-continue");
+}
+
+bool RequestReader::expectsContinue() const
+{
+    return m_expectsContinue;
+}
+
+const std::string &RequestReader::errorDescription() const
+{
+    return m_errorDescription;
+}
+
+HttpServerRequest RequestReader::release()
+{
+    return std::move(m_request);
+}
+}
--- /dev/null
+++ b/src/quetzallift/edge/requestreader.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "quetzallift/model/clientrequest.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Quetzallift
+{
+// A request as it was received.
+struct HttpServerRequest {
+    std::string method;
+    // Path and query string as received.
+    std::string target;
+    // All headers in the order received, without trailers.
+    std::vector<Header> headers;
+    std::string body;
+    // True if the connection may carry another request after the response.
+    bool keepAlive = false;
+    // True if the client speaks HTTP/1.0, which closes connections unless the response says otherwise.
+    bool isHttp10 = false;
+};
+
+// Reads one HTTP request from the bytes of a connection, with Boost.Beast's parser. Takes memory only for what was received.
+class RequestReader
+{
+public:
+    enum class State {
+        Reading,
+        Complete,
+        // The bytes are not an HTTP request.
+        Invalid,
+        // The request line and the headers, or the body, exceed the limit.
+        HeadTooLarge,
+        BodyTooLarge,
+    };
+
+    RequestReader(std::size_t headLimit, std::size_t bodyLimit);
+    ~RequestReader();
+    RequestReader(const RequestReader &) = delete;
+    RequestReader &operator=(const RequestReader &) = delete;
+
+    // Reads from the bytes and removes what was read. Bytes after the end of the request are left.
+    State consume(std::string &bytes);
+
+    // True if the client waits for an interim response before it sends the body.
+    bool expectsContinue() const;
+
+    // Why the request is invalid.
+    const std::string &errorDescription() const;
+
+    // Returns the request; may be called once, after State::Complete.
+    HttpServerRequest release();
+
+private:
+    class Parser;
+
+    void readHead();
+
+    std::unique_ptr<Parser> m_parser;
+    std::size_t m_headLimit;
+    // The bytes of the head that were read.
+    std::size_t m_headSize = 0;
+    HttpServerRequest m_request;
+    bool m_headComplete = false;
+    bool m_expectsContinue = false;
+    std::string m_errorDescription;
+};
+}
--- /dev/null
+++ b/src/quetzallift/edge/serverconnection.cpp
@@ -0,0 +1,290 @@
+#include "quetzallift/edge/serverconnection.h"
+
+#include "quetzallift/edge/eventloop.h"
+#include "quetzallift/edge/httperror.h"
+#include "quetzallift/edge/responsewriter.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <string_view>
+#include <utility>
+
+namespace Quetzallift
+{
+namespace
+{
+// Most requests fit into one read.
+constexpr std::size_t ReadBufferSize = 16384;
+// The largest queries and bundle parts are far smaller.
+constexpr std::size_t MaximumBodySize = std::size_t{1024} * 1024;
+// Bytes that a client may send ahead while a request is being answered; then nothing is read until the response is sent.
+constexpr std::size_t MaximumReadAhead = 65536;
+// How long a client may take to close a connection after its last response. Closing at once could discard that response
+// while the client still sends.
+constexpr Duration LingerTimeout = std::chrono::seconds(1);
+
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusContentTooLarge = 413;
+constexpr unsigned StatusHeadersTooLarge = 431;
+
+// The time since the kernel last received data on the socket; zero if the kernel does not report it.
+Duration timeSinceLastData(ACE_HANDLE socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const bool known = getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return std::chrono::milliseconds(known ? info.tcpi_last_data_recv : 0);
+}
+
+bool closesConnection(const std::vector<Header> &headers)
+{
+    return std::any_of(headers.begin(), headers.end(), [](const Header &header) {
+        return boost::beast::iequals(header.name, "Connection") && boost::beast::iequals(header.value, "close");
+    });
+}
+}
+
+ServerConnection::ServerConnection(EventLoop &loop, ACE_HANDLE socket, std::string peer, const Hooks &hooks)
+    : m_loop(loop)
+    , m_socket(socket)
+    , m_peer(std::move(peer))
+    , m_hooks(hooks)
+    , m_lastActivity(Clock::now())
+{ }
+
+ServerConnection::~ServerConnection()
+{
+    if (m_socket != ACE_INVALID_HANDLE) {
+        ::close(m_socket);
+    }
+}
+
+bool ServerConnection::start()
+{
+    return m_loop.reactor().register_handler(this, ACE_Event_Handler::READ_MASK) == 0;
+}
+
+void ServerConnection::close()
+{
+    if (m_socket == ACE_INVALID_HANDLE) {
+        return;
+    }
+    if (const HttpExchangePtr exchange = std::exchange(m_exchange, nullptr)) {
+        exchange->detach();
+    }
+    m_loop.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    ::close(m_socket);
+    m_socket = ACE_INVALID_HANDLE;
+    m_hooks.closed(*this);
+}
+
+const std::string &ServerConnection::peer() const
+{
+    return m_peer;
+}
+
+bool ServerConnection::isIdleSince(TimePoint time) const
+{
+    return !m_exchange && m_lastActivity < time;
+}
+
+ACE_HANDLE ServerConnection::get_handle() const
+{
+    return m_socket;
+}
+
+int ServerConnection::handle_input(ACE_HANDLE)
+{
+    std::array<char, ReadBufferSize> buffer;
+    const ssize_t size = recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return 0;
+    }
+    if (size <= 0) {
+        handleClientClose(size == 0);
+        return 0;
+    }
+    m_lastActivity = Clock::now();
+    if (m_lingering) {
+        return 0;
+    }
+    m_input.append(buffer.data(), static_cast<std::size_t>(size));
+    if (m_exchange || !m_output.empty()) {
+        watch(ACE_Event_Handler::READ_MASK, m_inputWatched, m_input.size() < MaximumReadAhead);
+    } else {
+        readRequests();
+    }
+    return 0;
+}
+
+int ServerConnection::handle_output(ACE_HANDLE)
+{
+    flush();
+    return 0;
+}
+
+void ServerConnection::handleClientClose(bool inOrder)
+{
+    if (inOrder && !m_output.empty()) {
+        // The client may still read the response.
+        m_keepAlive = false;
+        m_inputEnded = true;
+        watch(ACE_Event_Handler::READ_MASK, m_inputWatched, false);
+        return;
+    }
+    if (m_exchange) {
+        m_exchange->reportClosed();
+    }
+    close();
+}
+
+void ServerConnection::readRequests()
+{
+    m_reading = true;
+    bool incomplete = false;
+    while (m_socket != ACE_INVALID_HANDLE && !m_exchange && m_output.empty() && !m_lingering && !m_input.empty() && !incomplete) {
+        if (!m_reader) {
+            m_reader.emplace(m_hooks.headLimit(), MaximumBodySize);
+            m_waited = timeSinceLastData(m_socket);
+            m_continueSent = false;
+        }
+        switch (m_reader->consume(m_input)) {
+        case RequestReader::State::Reading:
+            incomplete = true;
+            sendContinue();
+            break;
+        case RequestReader::State::Complete:
+            beginExchange();
+            break;
+        case RequestReader::State::Invalid:
+            refuse(StatusBadRequest, "the request cannot be read: " + m_reader->errorDescription());
+            break;
+        case RequestReader::State::HeadTooLarge:
+            refuse(StatusHeadersTooLarge, "the request line and the headers exceed the limit");
+            break;
+        case RequestReader::State::BodyTooLarge:
+            refuse(StatusContentTooLarge, "the request body exceeds the limit of 1 MiB");
+            break;
+        }
+    }
+    m_reading = false;
+}
+
+void ServerConnection::sendContinue()
+{
+    constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (m_reader->expectsContinue() && !m_continueSent) {
+        m_continueSent = true;
+        // A client that does not receive it sends the body after a while.
+        [[maybe_unused]] const ssize_t size = send(m_socket, Continue.data(), Continue.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+}
+
+void ServerConnection::beginExchange()
+{
+    HttpServerRequest request = m_reader->release();
+    m_reader.reset();
+    if (m_input.empty()) {
+        m_input.shrink_to_fit();
+    }
+    m_keepAlive = request.keepAlive;
+    m_isHttp10 = request.isHttp10;
+    m_exchange = new HttpExchange(*this, std::move(request), m_waited);
+    m_hooks.requested(HttpExchangePtr(m_exchange));
+}
+
+void ServerConnection::finishExchange()
+{
+    const HttpExchangePtr exchange = std::exchange(m_exchange, nullptr);
+    exchange->detach();
+    if (exchange->isDropped()) {
+        close();
+        return;
+    }
+    sendResponse(exchange->response(), exchange->method());
+}
+
+void ServerConnection::refuse(unsigned status, const std::string &reason)
+{
+    m_reader.reset();
+    m_keepAlive = false;
+    sendResponse({status, {{"Content-Type", "application/json"}}, encodeHttpError(Step::Admit, m_peer, reason)}, {});
+}
+
+void ServerConnection::sendResponse(const HttpServerResponse &response, const std::string &method)
+{
+    m_keepAlive = m_keepAlive && !closesConnection(response.headers);
+    const AfterResponse keptAlive = m_isHttp10 ? AfterResponse::KeepAliveHttp10 : AfterResponse::KeepAlive;
+    m_output = writeResponse(response, method, m_keepAlive ? keptAlive : AfterResponse::Close);
+    m_written = 0;
+    flush();
+}
+
+void ServerConnection::flush()
+{
+    while (m_written < m_output.size()) {
+        const ssize_t size = ::send(m_socket, m_output.data() + m_written, m_output.size() - m_written, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
+            watch(ACE_Event_Handler::WRITE_MASK, m_outputWatched, true);
+            return;
+        }
+        if (size < 0) {
+            close();
+            return;
+        }
+        m_written += static_cast<std::size_t>(size);
+        m_lastActivity = Clock::now();
+    }
+    watch(ACE_Event_Handler::WRITE_MASK, m_outputWatched, false);
+    finishResponse();
+}
+
+void ServerConnection::finishResponse()
+{
+    m_output.clear();
+    m_output.shrink_to_fit();
+    if (!m_keepAlive) {
+        linger();
+        return;
+    }
+    watch(ACE_Event_Handler::READ_MASK, m_inputWatched, true);
+    if (!m_input.empty() && !m_reading) {
+        // From the loop: the effects of the event that led to the response are still being executed.
+        m_loop.callAt(Clock::now(), [self = ServerConnectionPtr(this)] {
+            self->readRequests();
+        });
+    }
+}
+
+void ServerConnection::linger()
+{
+    if (m_inputEnded) {
+        close();
+        return;
+    }
+    shutdown(m_socket, SHUT_WR);
+    m_lingering = true;
+    m_input.clear();
+    m_input.shrink_to_fit();
+    watch(ACE_Event_Handler::READ_MASK, m_inputWatched, true);
+    m_loop.callAt(Clock::now() + LingerTimeout, [self = ServerConnectionPtr(this)] {
+        self->close();
+    });
+}
+
+void ServerConnection::watch(ACE_Reactor_Mask event, bool &watched, bool wanted)
+{
+    if (watched != wanted) {
+        watched = wanted;
+        m_loop.reactor().mask_ops(this, event, wanted ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
+    }
+}
+}
