Call the request parser with the end of a chunked body as a whole

A build with assertions ended when a client sent an empty chunked body in pieces.

Cause: once Boost.Beast's parser has read the size of the last chunk, it asserts that it is called with at least five bytes, but it asks for more after four.

--- a/src/quetzallift/edge/requestreader.cpp
+++ b/src/quetzallift/edge/requestreader.cpp
@@ -15,6 +15,8 @@
 namespace Http = boost::beast::http;
 
 constexpr unsigned VersionHttp10 = 10;
+// The last chunk of a body and the empty line after it: what is left of a chunked body is never shorter.
+constexpr std::size_t LastChunkSize = 5;
 
 // Some clients send an empty line after the body of their previous request (RFC 9112, section 2.2).
 void skipEmptyLines(std::string &bytes)
@@ -49,6 +51,10 @@
         skipEmptyLines(bytes);
     }
     while (!bytes.empty()) {
+        if (m_headComplete && m_parser->chunked() && bytes.size() < LastChunkSize) {
+            // The parser does not expect to be called again with less after it has read the size of the last chunk.
+            return State::Reading;
+        }
         boost::beast::error_code error;
         const std::size_t read = m_parser->put(boost::asio::buffer(bytes), error);
         bytes.erase(0, read);
--- a/tests/edge/requestreader_test.cpp
+++ b/tests/edge/requestreader_test.cpp
@@ -55,6 +55,15 @@
     }
 }
 
+// Guards against a process that a client ends with an empty chunked body in pieces: the parser asserts that it gets enough bytes.
+Test(requestreader, emptyChunkedBodyIsReadInPieces)
+{
+    const std::string bytes = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    for (std::size_t size = 1; size <= bytes.size(); ++size) {
+        cr_assert(readInParts(bytes, size).state == RequestReader::State::Complete, "pieces of %zu bytes", size);
+    }
+}
+
 // Guards against a trailer that is taken for a header, such as one that the product sets itself.
 Test(requestreader, trailersAreNotHeaders)
 {
