--- a/src/quetzallift/control/controlstate.h
+++ b/src/quetzallift/control/controlstate.h
@@ -94,6 +94,9 @@
     std::optional<PlatformRequest> queuedRequest = {};
     // True if the call budget would not admit the call within its timeout.
     bool overBudget = false;
+    // When the call was sent, and how long the platform waits for a change before it answers.
+    TimePoint sentAt = {};
+    Duration watchTime = Duration::zero();
 };
 
 // The state of the control thread.
--- a/src/quetzallift/control/discovery/configuration.cpp
+++ b/src/quetzallift/control/discovery/configuration.cpp
@@ -1,5 +1,6 @@
 #include "quetzallift/control/discovery/configuration.h"
 
+#include "quetzallift/control/discovery/confirmation.h"
 #include "quetzallift/control/discovery/discovery.h"
 #include "quetzallift/control/discovery/retrypause.h"
 #include "quetzallift/control/discovery/storereading.h"
@@ -8,13 +9,14 @@
 #include "quetzallift/control/publish.h"
 #include "quetzallift/core/reducecontext.h"
 
+#include <algorithm>
+
 namespace Quetzallift
 {
 namespace
 {
-// Hosts that rely on this reader must receive an update within their RelayTimeout, also if nothing changed. The watch
-// timeout also limits how long a connection that went silent without a reset stays undetected.
-constexpr Duration WatchTimeout = std::chrono::milliseconds(1200);
+// Also limits how long a connection that went silent without a reset stays undetected.
+constexpr Duration LongestWatch = std::chrono::milliseconds(1200);
 // A healthy store answers a single read in milliseconds.
 constexpr Duration ReadTimeout = std::chrono::milliseconds(800);
 }
@@ -31,7 +33,7 @@
     PlatformRequest request;
     request.verb = discovery.configurationVersion == 0 ? PlatformVerb::ReadConfiguration : PlatformVerb::WatchConfiguration;
     request.version = discovery.configurationVersion;
-    request.timeout = discovery.configurationVersion == 0 ? ReadTimeout : WatchTimeout;
+    request.timeout = discovery.configurationVersion == 0 ? ReadTimeout : watchTime(context, discovery.configurationReadAt, LongestWatch);
     callPlatform(context, PlatformPurpose::Configuration, std::move(request));
 }
 
@@ -54,16 +56,19 @@
     return true;
 }
 
-void handleConfigurationReply(ReduceContext &context, const PlatformReply &reply)
+void handleConfigurationReply(ReduceContext &context, const PlatformReply &reply, TimePoint validAt)
 {
     DiscoveryState &discovery = context.state.control.discovery;
     if (reply.outcome == PlatformOutcome::Applied) {
         discovery.configurationVersion = reply.version;
-        discovery.configurationReadAt = context.now;
+        if (!reply.partial) {
+            discovery.configurationReadAt = std::max(discovery.configurationReadAt, std::optional(validAt));
+        }
         if (const auto *routes = std::get_if<RouteTablePtr>(&reply.value)) {
             adoptConfiguration(context, *routes, "store");
         }
-        relayTables(context, discovery.searchersVersion, {});
+        relayConfiguration(context);
+        confirmTables(context);
         watchConfiguration(context);
         return;
     }
--- a/src/quetzallift/control/discovery/discovery.cpp
+++ b/src/quetzallift/control/discovery/discovery.cpp
@@ -4,11 +4,17 @@
 #include "quetzallift/control/discovery/registration.h"
 #include "quetzallift/control/discovery/relay.h"
 #include "quetzallift/control/discovery/searchers.h"
+#include "quetzallift/core/reducecontext.h"
 
 namespace Quetzallift
 {
 void startDiscovery(ReduceContext &context)
 {
+    // Numbers of an earlier process of this host must not match.
+    DiscoveryState &discovery = context.state.control.discovery;
+    constexpr unsigned SpareBits = 8;
+    discovery.confirmationRequests.startAfter(context.state.hooks.random() >> SpareBits);
+    discovery.tablesRequests.startAfter(context.state.hooks.random() >> SpareBits);
     watchConfiguration(context);
     watchSearchers(context);
     registerHost(context);
--- a/src/quetzallift/control/discovery/discovery.h
+++ b/src/quetzallift/control/discovery/discovery.h
@@ -3,6 +3,7 @@
 #include "quetzallift/core/timerkey.h"
 #include "quetzallift/model/peermessage.h"
 #include "quetzallift/model/platform.h"
+#include "quetzallift/model/time.h"
 
 namespace Quetzallift
 {
@@ -14,15 +15,15 @@
 // Handles an expired discovery timer.
 void handleDiscoveryTimer(ReduceContext &context, TimerKind kind);
 
-// Adopts the configuration in the reply if it is newer, and watches for the next version.
-void handleConfigurationReply(ReduceContext &context, const PlatformReply &reply);
+// Adopts the configuration in the reply if it is newer, and watches for the next version. The reply holds for the given time.
+void handleConfigurationReply(ReduceContext &context, const PlatformReply &reply, TimePoint validAt);
 
 // Applies a page of the list of searchers and requests the next page or, after the last page, the changes since the first
 // page was read.
-void handleSearcherList(ReduceContext &context, const PlatformReply &reply);
+void handleSearcherList(ReduceContext &context, const PlatformReply &reply, TimePoint validAt);
 
 // Applies changes of searchers and requests the changes after them.
-void handleSearcherChanges(ReduceContext &context, const PlatformReply &reply);
+void handleSearcherChanges(ReduceContext &context, const PlatformReply &reply, TimePoint validAt);
 
 // Stores the version of this host's entry, or schedules another write of the entry.
 void handleHostRegistered(ReduceContext &context, const PlatformReply &reply);
@@ -36,7 +37,12 @@
 // Applies the routes and searchers of a peer if they are newer.
 void handleTablesReply(ReduceContext &context, const PeerSender &sender, const TablesReply &reply);
 
-// Applies changes that a peer read from the store. Requests the peer's tables if the changes start after the version known
-// here, if no version is known, or if the peer's configuration is newer.
+// Applies changes that a peer read from the store. Requests the peer's tables if the changes do not fit the version known here.
 void handleTablesUpdate(ReduceContext &context, const PeerSender &sender, const TablesUpdate &update);
+
+// Notes that the peer waits for a confirmation of its tables after this host's next read of the store.
+void handleConfirmationRequest(ReduceContext &context, const PeerSender &sender, const ConfirmationRequest &request);
+
+// Records for which time the peer confirms the tables of this host, or requests the peer's tables if they are newer.
+void handleTablesConfirmation(ReduceContext &context, const PeerSender &sender, const TablesConfirmation &confirmation);
 }
--- a/src/quetzallift/control/discovery/discoverystate.h
+++ b/src/quetzallift/control/discovery/discoverystate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/control/discovery/requesttimes.h"
 #include "quetzallift/model/platform.h"
 
 #include <cstdint>
@@ -9,6 +10,12 @@
 
 namespace Quetzallift
 {
+// A host that waits for this host to confirm its tables.
+struct AwaitedConfirmation {
+    std::uint64_t number = 0;
+    TimePoint arrivedAt;
+};
+
 // The routes and searchers known to the control thread, and the progress of reading the metadata store.
 struct DiscoveryState {
     // True if the platform holds the configuration of routes; false if it holds bundles.
@@ -25,18 +32,36 @@
     SearcherTablePtr published;
     // Searchers whose entries disappeared around an outage of the store, and when each searcher is removed.
     std::map<std::string, TimePoint> expiring;
-    // The store version of the searchers; 0 while the searchers must be listed.
+    // The store version of the searchers; 0 while the searchers must be listed. The table is the same at all versions from
+    // `changedVersion` on.
     std::uint64_t searchersVersion = 0;
+    std::uint64_t changedVersion = 0;
     // The partial list that is being read page by page, the last name read, and the store version of the first page.
     std::map<std::string, SearcherEntry> listing;
     std::string lastListedName;
     std::uint64_t listVersion = 0;
+    // The time for which the first page holds, and the version of the table that the list replaces.
+    TimePoint listValidAt;
+    std::uint64_t versionBeforeList = 0;
     // When the searchers were last known to be up to date; empty before the first complete list.
     std::optional<TimePoint> searchersReadAt;
-    // When a host that relays the tables last had both confirmed by the store; empty until an update has
-    // confirmed this host's tables.
+    // The latest time for which the store is known to have answered, also if it had more changes than its reply.
+    std::optional<TimePoint> storeAnsweredAt;
+    // The latest time for which another host has confirmed this host's tables; empty before the first confirmation.
     std::optional<TimePoint> relayedReadAt;
-    // When tables were last requested from another host.
+    // The requests for a confirmation, and the host that was asked last.
+    RequestTimes confirmationRequests;
+    std::string confirmationRequestedFrom;
+    // Since when confirmations have named a version that is not known here.
+    std::optional<TimePoint> behindSince;
+    // The hosts that wait for a confirmation by this host, by peer address.
+    std::map<std::string, AwaitedConfirmation> awaitedConfirmations;
+    // The operator's version of the configuration that was last sent to the data centre.
+    std::uint64_t relayedConfiguration = 0;
+    // The source that confirmed the tables last: "store", or the name of a host.
+    std::string confirmedBy;
+    // The requests for tables, and when the last one was sent.
+    RequestTimes tablesRequests;
     TimePoint tablesRequestedAt;
     // The end of the period after an outage in which searchers whose entries disappeared are kept.
     TimePoint outageGraceUntil;
--- a/src/quetzallift/control/discovery/relay.cpp
+++ b/src/quetzallift/control/discovery/relay.cpp
@@ -1,6 +1,7 @@
 #include "quetzallift/control/discovery/relay.h"
 
 #include "quetzallift/control/discovery/configuration.h"
+#include "quetzallift/control/discovery/confirmation.h"
 #include "quetzallift/control/discovery/discovery.h"
 #include "quetzallift/control/discovery/searchers.h"
 #include "quetzallift/control/gossip.h"
@@ -27,8 +28,9 @@
     return !discovery.routes || !discovery.searchersReadAt || context.now - *discovery.searchersReadAt > TablesAgeLimit;
 }
 
-// The configuration in a peer's document, or null if the document cannot be read, as from a peer of another version.
-RouteTablePtr parseDocument(ReduceContext &context, const PeerSender &sender, const std::string &document)
+}
+
+RouteTablePtr parsePeerDocument(ReduceContext &context, const PeerSender &sender, const std::string &document)
 {
     try {
         return context.state.hooks.parseRoutes(document);
@@ -37,7 +39,6 @@
         return nullptr;
     }
 }
-}
 
 void schedulePeerTablesPoll(ReduceContext &context)
 {
@@ -49,11 +50,13 @@
 void pollPeerTables(ReduceContext &context)
 {
     schedulePeerTablesPoll(context);
+    pollConfirmation(context);
     if (!needsPeerTables(context)) {
         return;
     }
-    const DiscoveryState &discovery = context.state.control.discovery;
-    const TablesRequest body{discovery.routes ? discovery.routes->version : 0, true};
+    DiscoveryState &discovery = context.state.control.discovery;
+    discovery.tablesRequestedAt = context.now;
+    const TablesRequest body{discovery.routes ? discovery.routes->version : 0, true, discovery.tablesRequests.add(context.now)};
     const std::string &dataCentre = context.state.control.fleet.self.dataCentre;
     std::vector<const Member *> recipients = randomMembers(context, 1, [&dataCentre](const Member &member) {
         return isServing(member) && member.info.dataCentre == dataCentre;
@@ -75,6 +78,7 @@
         return;
     }
     TablesReply reply;
+    reply.number = request.number;
     if (discovery.routes->version > request.configuration) {
         reply.document = discovery.routes->document;
     }
@@ -94,13 +98,15 @@
 void handleTablesReply(ReduceContext &context, const PeerSender &sender, const TablesReply &reply)
 {
     DiscoveryState &discovery = context.state.control.discovery;
-    const RouteTablePtr routes = reply.document.empty() ? nullptr : parseDocument(context, sender, reply.document);
+    const RouteTablePtr routes = reply.document.empty() ? nullptr : parsePeerDocument(context, sender, reply.document);
     if (routes && adoptConfiguration(context, routes, sender.self.name)) {
         discovery.configurationVersion = std::max(discovery.configurationVersion, reply.configurationVersion);
     }
-    const TimePoint readAt = context.now - reply.age;
+    // The sender composed the reply after the request was sent.
+    const TimePoint requestedAt = discovery.tablesRequests.sentAt(reply.number).value_or(context.state.control.fleet.startedAt);
+    const TimePoint readAt = requestedAt - reply.age;
+    discovery.tablesRequests.finish(reply.number);
     const bool hasLaterVersion = reply.searchersVersion > discovery.searchersVersion && discovery.searchersVersion != 0;
-    // The age does not include the time that the message waited, as while the sender was frozen.
     const bool hasOlderVersion = reply.searchersVersion != 0 && reply.searchersVersion < discovery.searchersVersion;
     const bool hasLaterRead = !discovery.searchersReadAt || readAt > *discovery.searchersReadAt + AgeMargin;
     if (!reply.withSearchers || hasOlderVersion || !(hasLaterVersion || hasLaterRead)) {
--- a/src/quetzallift/control/discovery/relay.h
+++ b/src/quetzallift/control/discovery/relay.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include "quetzallift/model/peermessage.h"
+
 namespace Quetzallift
 {
 struct ReduceContext;
 
+// The configuration in a peer's document, or null if the document cannot be read, as from a peer of another version.
+RouteTablePtr parsePeerDocument(ReduceContext &context, const PeerSender &sender, const std::string &document);
+
 // Schedules the next check whether a peer must be polled.
 void schedulePeerTablesPoll(ReduceContext &context);
 
--- a/src/quetzallift/control/discovery/searchers.cpp
+++ b/src/quetzallift/control/discovery/searchers.cpp
@@ -1,5 +1,6 @@
 #include "quetzallift/control/discovery/searchers.h"
 
+#include "quetzallift/control/discovery/confirmation.h"
 #include "quetzallift/control/discovery/discovery.h"
 #include "quetzallift/control/discovery/retrypause.h"
 #include "quetzallift/control/discovery/storereading.h"
@@ -16,10 +17,9 @@
 namespace
 {
 constexpr Duration ListTimeout = std::chrono::milliseconds(800);
-// While searchers change, a watch returns immediately; the pause after it limits the calls, which are billed. The sum of
-// pause and timeout stays below the RelayTimeout of the hosts that rely on this reader.
+// While searchers change, a watch returns immediately; the pause after it limits the calls, which are billed.
 constexpr Duration WatchPause = std::chrono::milliseconds(500);
-constexpr Duration WatchTimeout = std::chrono::milliseconds(800);
+constexpr Duration LongestWatch = std::chrono::milliseconds(800);
 // A store that gave no answer for this long may have dropped the entries of live searchers.
 constexpr Duration OutageThreshold = std::chrono::milliseconds(2800);
 // Searchers that can reach the store register again within two seconds of its recovery.
@@ -82,29 +82,55 @@
 }
 
 // Removes a searcher whose entry disappeared from the store, either immediately or at the end of the grace period.
-void removeOrExpire(ReduceContext &context, const std::string &id)
+void removeOrExpire(ReduceContext &context, const std::string &id, TimePoint graceUntil)
 {
-    const DiscoveryState &discovery = discoveryOf(context);
-    if (context.now >= discovery.outageGraceUntil) {
+    if (context.now >= graceUntil) {
         removeSearcher(context, id, "searcher is gone");
-    } else if (discovery.searchers.contains(id)) {
-        expireAt(context, id, discovery.outageGraceUntil);
+    } else if (discoveryOf(context).searchers.contains(id)) {
+        expireAt(context, id, graceUntil);
     }
 }
 
-// Records that the store answered this host or a host that relays its answers, and starts the grace period after an outage.
-void recordStoreRead(ReduceContext &context, TimePoint readAt)
+// Records that the store answered this host, or a host that confirms its answers, and starts the grace period after an outage.
+void recordStoreAnswer(ReduceContext &context, TimePoint validAt)
 {
     DiscoveryState &discovery = discoveryOf(context);
-    if (discovery.searchersReadAt && readAt - *discovery.searchersReadAt > OutageThreshold) {
+    if (discovery.storeAnsweredAt && validAt - *discovery.storeAnsweredAt > OutageThreshold) {
         discovery.outageGraceUntil = context.now + OutageGrace;
-        const auto outageLength = std::chrono::duration_cast<std::chrono::milliseconds>(readAt - *discovery.searchersReadAt);
+        const auto outageLength = std::chrono::duration_cast<std::chrono::milliseconds>(validAt - *discovery.storeAnsweredAt);
         context.emit(WriteLog{{LogLevel::Warning, Step::Watch, "store", {}, "store answers again", {{"away_ms", std::to_string(outageLength.count())}}}});
     }
-    discovery.searchersReadAt = std::max(discovery.searchersReadAt, std::optional(readAt));
+    discovery.storeAnsweredAt = std::max(discovery.storeAnsweredAt, std::optional(validAt));
+}
+
+// Records that this host's searchers are up to date for the given time, as the source confirms.
+void recordStoreRead(ReduceContext &context, const std::string &source, TimePoint validAt)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    recordConfirmation(context, source, validAt);
+    recordStoreAnswer(context, validAt);
+    discovery.searchersReadAt = std::max(discovery.searchersReadAt, std::optional(validAt));
+}
+
+// Sends a list that replaced a table to the hosts that follow this one, as the changes from that table.
+void relayList(ReduceContext &context, const std::map<std::string, SearcherEntry> &before, std::vector<std::string> missing, std::uint64_t changedBefore)
+{
+    const DiscoveryState &discovery = discoveryOf(context);
+    if (discovery.versionBeforeList == 0) {
+        return;
+    }
+    SearcherPage changes;
+    changes.removed = std::move(missing);
+    for (const auto &[id, entry] : discovery.searchers) {
+        const auto known = before.find(id);
+        if (known == before.end() || differs(known->second, entry)) {
+            changes.entries.push_back({entry, std::max(entry.coldUntil - context.now, Duration::zero())});
+        }
+    }
+    relaySearchers(context, changedBefore, discovery.versionBeforeList, changes);
 }
 
-void applyList(ReduceContext &context, const SearcherPage &page, std::uint64_t version)
+void applyList(ReduceContext &context, const SearcherPage &page, std::uint64_t version, TimePoint validAt)
 {
     DiscoveryState &discovery = discoveryOf(context);
     if (discovery.lastListedName.empty()) {
@@ -112,6 +138,7 @@
         // twice has no effect.
         discovery.listing.clear();
         discovery.listVersion = version;
+        discovery.listValidAt = validAt;
     }
     for (const ReportedSearcher &reported : page.entries) {
         discovery.listing[reported.entry.id] = toSearcherEntry(context, reported);
@@ -128,8 +155,10 @@
         watchSearchers(context);
         return;
     }
+    const std::map<std::string, SearcherEntry> before = discovery.searchers;
+    const std::uint64_t changedBefore = std::exchange(discovery.changedVersion, discovery.listVersion);
     discovery.searchersVersion = discovery.listVersion;
-    recordStoreRead(context, context.now);
+    recordStoreRead(context, "store", discovery.listValidAt);
     std::vector<std::string> missing;
     for (const auto &[id, entry] : discovery.searchers) {
         if (!discovery.listing.contains(id)) {
@@ -140,24 +169,27 @@
         updateSearcher(context, entry);
     }
     for (const std::string &id : missing) {
-        removeOrExpire(context, id);
+        removeOrExpire(context, id, discovery.outageGraceUntil);
     }
-    relayTables(context, discovery.searchersVersion, {});
+    relayList(context, before, std::move(missing), changedBefore);
+    confirmTables(context);
     watchSearchers(context);
 }
 
-void applyChanges(ReduceContext &context, const SearcherPage &page, std::uint64_t version, TimePoint readAt)
+void applyChanges(ReduceContext &context, const SearcherPage &page, std::uint64_t version, TimePoint graceUntil)
 {
     DiscoveryState &discovery = discoveryOf(context);
     discovery.searchersVersion = version;
-    recordStoreRead(context, readAt);
+    if (!page.entries.empty() || !page.removed.empty()) {
+        discovery.changedVersion = version;
+    }
     // The removal of more than half of the searchers in one change is treated as an undetected outage, not as a
     // deployment that removes searchers.
     if (page.removed.size() * 2 > discovery.searchers.size()) {
         discovery.outageGraceUntil = context.now + OutageGrace;
     }
     for (const std::string &id : page.removed) {
-        removeOrExpire(context, id);
+        removeOrExpire(context, id, std::max(graceUntil, discovery.outageGraceUntil));
     }
     for (const ReportedSearcher &reported : page.entries) {
         updateSearcher(context, toSearcherEntry(context, reported));
@@ -171,8 +203,11 @@
     const auto *page = std::get_if<SearcherPage>(&reply.value);
     if (reply.outcome != PlatformOutcome::Applied || page == nullptr) {
         discovery.lastListedName.clear();
-        if (reply.outcome == PlatformOutcome::NotApplied) {
-            discovery.searchersVersion = 0;
+        if (reply.outcome == PlatformOutcome::NotApplied && discovery.searchersVersion != 0) {
+            // The store answers, but no longer has the history since the known version.
+            discovery.versionBeforeList = std::exchange(discovery.searchersVersion, 0);
+            watchSearchers(context);
+            return nullptr;
         }
         if (discovery.failedSearcherReads++ == 0) {
             context.emit(WriteLog{{LogLevel::Warning, Step::Watch, "store", {}, "searchers cannot be read", {{"reason", reply.detail}}}});
@@ -200,19 +235,19 @@
     request.verb = list ? PlatformVerb::ListSearchers : PlatformVerb::WatchSearchers;
     request.object = discovery.lastListedName;
     request.version = discovery.searchersVersion;
-    request.timeout = list ? ListTimeout : WatchTimeout;
+    request.timeout = list ? ListTimeout : watchTime(context, discovery.searchersReadAt, LongestWatch);
     callPlatform(context, list ? PlatformPurpose::ListSearchers : PlatformPurpose::WatchSearchers, std::move(request));
 }
 
-void handleSearcherList(ReduceContext &context, const PlatformReply &reply)
+void handleSearcherList(ReduceContext &context, const PlatformReply &reply, TimePoint validAt)
 {
     if (const SearcherPage *page = usablePage(context, reply)) {
-        applyList(context, *page, reply.version);
+        applyList(context, *page, reply.version, validAt);
         publishSearchers(context);
     }
 }
 
-void handleSearcherChanges(ReduceContext &context, const PlatformReply &reply)
+void handleSearcherChanges(ReduceContext &context, const PlatformReply &reply, TimePoint validAt)
 {
     const SearcherPage *page = usablePage(context, reply);
     if (page == nullptr) {
@@ -224,24 +259,46 @@
         watchSearchers(context);
         return;
     }
-    applyChanges(context, *page, reply.version, context.now);
+    if (reply.partial) {
+        recordStoreAnswer(context, validAt);
+    } else {
+        recordStoreRead(context, "store", validAt);
+    }
+    const std::uint64_t changedBefore = discoveryOf(context).changedVersion;
+    applyChanges(context, *page, reply.version, discoveryOf(context).outageGraceUntil);
     publishSearchers(context);
-    relayTables(context, known, *page);
+    relaySearchers(context, changedBefore, reply.version, *page);
+    if (reply.partial) {
+        // Reads on without a pause until the present state is reached.
+        watchSearchers(context);
+        return;
+    }
+    confirmTables(context);
     context.emit(StartTimer{{TimerKind::SearchersRead, 0}, context.now + WatchPause});
 }
 
-bool applySearcherChanges(ReduceContext &context, std::uint64_t from, std::uint64_t to, const SearcherPage &changes, TimePoint readAt)
+bool applySearcherChanges(ReduceContext &context, const TablesUpdate &update)
 {
     const std::uint64_t known = discoveryOf(context).searchersVersion;
-    if (known == 0 || known < from) {
+    if (known != 0 && known >= update.to) {
+        return true;
+    }
+    if (known == 0 || known < update.from || known > update.upTo) {
         return false;
     }
-    if (known < to) {
-        applyChanges(context, changes, to, readAt);
-        publishSearchers(context);
-    } else {
-        recordStoreRead(context, readAt);
+    applyChanges(context, update.changes, update.to, context.now + update.grace);
+    publishSearchers(context);
+    return true;
+}
+
+bool confirmSearchers(ReduceContext &context, const TablesConfirmation &confirmation, const std::string &source, TimePoint validAt)
+{
+    DiscoveryState &discovery = discoveryOf(context);
+    if (discovery.searchersVersion == 0 || discovery.searchersVersion < confirmation.changedVersion) {
+        return false;
     }
+    discovery.searchersVersion = std::max(discovery.searchersVersion, confirmation.searchersVersion);
+    recordStoreRead(context, source, validAt);
     return true;
 }
 
@@ -266,8 +323,10 @@
         expireAt(context, entry.id, own == knownExpiring.end() ? at : std::min(at, own->second));
     }
     discovery.searchersReadAt = std::max(discovery.searchersReadAt, std::optional(readAt));
+    discovery.storeAnsweredAt = std::max(discovery.storeAnsweredAt, std::optional(readAt));
     // A version of 0, which a peer sends if it does not know the version, leads to a new list.
     discovery.searchersVersion = reply.searchersVersion;
+    discovery.changedVersion = reply.searchersVersion;
     publishSearchers(context);
 }
 
--- a/src/quetzallift/control/discovery/searchers.h
+++ b/src/quetzallift/control/discovery/searchers.h
@@ -14,9 +14,12 @@
 // Lists the searchers, or watches for changes since the last known version.
 void watchSearchers(ReduceContext &context);
 
-// Applies changes that another host read from the store at the given time. Returns false if the changes start after the
-// version of the searchers known here, or if no version is known.
-bool applySearcherChanges(ReduceContext &context, std::uint64_t from, std::uint64_t to, const SearcherPage &changes, TimePoint readAt);
+// Applies changes that another host read from the store. Returns false if they do not apply to the version of the searchers known
+// here, or if no version is known.
+bool applySearcherChanges(ReduceContext &context, const TablesUpdate &update);
+
+// Records that the named host confirms the searchers known here for the given time. Returns false if it knows newer ones.
+bool confirmSearchers(ReduceContext &context, const TablesConfirmation &confirmation, const std::string &source, TimePoint validAt);
 
 // Replaces the searchers by those of a peer, which read them from the store at the given time. Searchers that the peer is about
 // to drop are dropped here no later, and are not taken over if this host has dropped them already.
--- a/src/quetzallift/control/discovery/storereading.cpp
+++ b/src/quetzallift/control/discovery/storereading.cpp
@@ -10,7 +10,10 @@
 namespace
 {
 constexpr std::size_t ReadersPerDataCentre = 1;
-// Longer than the cycle of the reader's two watches, including the store's answers. Short enough that a host that has
+// The oldest that the reader lets its tables become between two reads.
+constexpr Duration ReadCycle = std::chrono::milliseconds(1400);
+constexpr Duration ShortestWatch = std::chrono::milliseconds(100);
+// Longer than the reader's cycle and the way of a confirmation. Short enough that a host that has
 // lost its reader is up to date again within the three seconds in which a change must take effect.
 constexpr Duration RelayTimeout = std::chrono::milliseconds(1900);
 // How long a host waits to discover other hosts before it reads for them. Longer at the first start of a fleet, where all
@@ -58,6 +61,33 @@
     return running >= settleDuration + (state.self.firstStart ? FirstTablesTimeout : TablesTimeout);
 }
 
+Duration watchTime(const ReduceContext &context, const std::optional<TimePoint> &readAt, Duration longest)
+{
+    const Duration left = readAt ? *readAt + ReadCycle - context.now : longest;
+    return std::clamp(left, ShortestWatch, longest);
+}
+
+void recordConfirmation(ReduceContext &context, const std::string &source, TimePoint readAt)
+{
+    DiscoveryState &discovery = context.state.control.discovery;
+    if (source == discovery.confirmedBy) {
+        return;
+    }
+    const auto ageMs = [&context](TimePoint at) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(context.now - at).count());
+    };
+    context.emit(WriteLog{{LogLevel::Info,
+                           Step::Watch,
+                           source,
+                           {},
+                           "searchers are confirmed by another source",
+                           {{"before", discovery.confirmedBy.empty() ? "none" : discovery.confirmedBy},
+                            {"age_ms", ageMs(readAt)},
+                            {"age_before_ms", discovery.searchersReadAt ? ageMs(*discovery.searchersReadAt) : "none"},
+                            {"version", std::to_string(discovery.searchersVersion)}}}});
+    discovery.confirmedBy = source;
+}
+
 void scheduleReadCheck(ReduceContext &context, TimerKind timer)
 {
     const std::optional<TimePoint> &relayedReadAt = context.state.control.discovery.relayedReadAt;
--- a/src/quetzallift/control/discovery/storereading.h
+++ b/src/quetzallift/control/discovery/storereading.h
@@ -1,6 +1,10 @@
 #pragma once
 
 #include "quetzallift/core/timerkey.h"
+#include "quetzallift/model/time.h"
+
+#include <optional>
+#include <string>
 
 namespace Quetzallift
 {
@@ -14,6 +18,14 @@
 // host's tables within RelayTimeout.
 bool mustReadStore(const ReduceContext &context);
 
+// How long a watch may last, so that the next confirmation for the hosts that follow this one comes in time even if nothing
+// changes. `readAt` is the latest time for which the watched table is known to be up to date.
+Duration watchTime(const ReduceContext &context, const std::optional<TimePoint> &readAt, Duration longest);
+
+// Records that the searchers known here were confirmed by the store itself or by the named host, and logs a change of the source. The
+// searchers were up to date at the given time.
+void recordConfirmation(ReduceContext &context, const std::string &source, TimePoint readAt);
+
 // Starts the timer after which a host that does not read the store checks again whether it must.
 void scheduleReadCheck(ReduceContext &context, TimerKind timer);
 }
--- a/src/quetzallift/control/peers.cpp
+++ b/src/quetzallift/control/peers.cpp
@@ -77,6 +77,14 @@
     {
         handleTablesUpdate(context, sender, body);
     }
+    void operator()(const ConfirmationRequest &body)
+    {
+        handleConfirmationRequest(context, sender, body);
+    }
+    void operator()(const TablesConfirmation &body)
+    {
+        handleTablesConfirmation(context, sender, body);
+    }
 };
 
 // Applies the update of the sender about itself, and marks the sender for correction if a newer update is known.
--- a/src/quetzallift/control/platformcalls.cpp
+++ b/src/quetzallift/control/platformcalls.cpp
@@ -45,6 +45,11 @@
     }
 }
 
+bool isWatch(const PlatformRequest &request)
+{
+    return request.verb == PlatformVerb::Watch || request.verb == PlatformVerb::WatchConfiguration || request.verb == PlatformVerb::WatchSearchers;
+}
+
 // Records when the platform became reachable or unreachable, and publishes the change for the status page.
 void recordReachability(ReduceContext &context, PlatformOutcome outcome)
 {
@@ -58,6 +63,13 @@
     }
 }
 
+// The latest time for which the reply is known to hold. It may have waited at this host, so the time of its arrival says nothing; the
+// platform composed it after the call was sent, and, if a watch saw no change, after the time of the watch.
+TimePoint validAt(const ReduceContext &context, const PendingCall &call, const PlatformReply &reply)
+{
+    return reply.unchanged ? std::min(context.now, call.sentAt + call.watchTime) : call.sentAt;
+}
+
 void routeReply(ReduceContext &context, const PendingCall &call, const PlatformReply &reply)
 {
     switch (call.purpose) {
@@ -96,13 +108,13 @@
         handleOutcomeWritten(context, call.subject, reply);
         break;
     case PlatformPurpose::Configuration:
-        handleConfigurationReply(context, reply);
+        handleConfigurationReply(context, reply, validAt(context, call, reply));
         break;
     case PlatformPurpose::ListSearchers:
-        handleSearcherList(context, reply);
+        handleSearcherList(context, reply, validAt(context, call, reply));
         break;
     case PlatformPurpose::WatchSearchers:
-        handleSearcherChanges(context, reply);
+        handleSearcherChanges(context, reply, validAt(context, call, reply));
         break;
     case PlatformPurpose::RegisterHost:
         handleHostRegistered(context, reply);
@@ -122,6 +134,8 @@
     const PlatformCallId call{++state.lastCall};
     const Duration wait = takeCall(state.callBudget, isWrite(request), state.hostList.hosts.size(), context.now, request.timeout);
     PendingCall &pending = state.calls[call] = PendingCall{purpose, subject};
+    pending.sentAt = context.now;
+    pending.watchTime = isWatch(request) ? request.timeout : Duration::zero();
     if (wait == Duration::zero()) {
         context.emit(CallPlatform{call, std::move(request)});
         return;
@@ -140,6 +154,7 @@
     }
     const PlatformRequest request = *std::exchange(found->second.queuedRequest, std::nullopt);
     if (!found->second.overBudget) {
+        found->second.sentAt = context.now;
         context.emit(CallPlatform{call, request});
         return;
     }
--- a/src/quetzallift/control/watchers.cpp
+++ b/src/quetzallift/control/watchers.cpp
@@ -14,6 +14,16 @@
 constexpr Duration MinimumPollPeriod = std::chrono::seconds(30);
 // Limits the hosts that do not watch to 20 reads of an object per second on average, in total.
 constexpr Duration PollPerHost = std::chrono::milliseconds(50);
+
+std::uint64_t watcherWeight(const std::string &dataCentre, const std::string &name)
+{
+    return rendezvousWeight("watch/" + dataCentre, name);
+}
+
+bool isCandidate(const ControlState &state, const Member &member)
+{
+    return isServing(member) && member.info.dataCentre == state.fleet.self.dataCentre;
+}
 }
 
 bool isWatcher(const ControlState &state, std::size_t watchers)
@@ -22,17 +32,31 @@
     if (self.status != MemberStatus::Live) {
         return false;
     }
-    const std::string key = "watch/" + self.dataCentre;
-    const std::uint64_t own = rendezvousWeight(key, self.name);
+    const std::uint64_t own = watcherWeight(self.dataCentre, self.name);
     std::size_t before = 0;
     for (const auto &[name, member] : state.fleet.members) {
-        if (isServing(member) && member.info.dataCentre == self.dataCentre && rendezvousWeight(key, name) > own) {
+        if (isCandidate(state, member) && watcherWeight(self.dataCentre, name) > own) {
             ++before;
         }
     }
     return before < watchers;
 }
 
+const Member *firstWatcher(const ControlState &state)
+{
+    const MemberUpdate &self = state.fleet.self;
+    const Member *first = nullptr;
+    std::uint64_t highest = self.status == MemberStatus::Live ? watcherWeight(self.dataCentre, self.name) : 0;
+    for (const auto &[name, member] : state.fleet.members) {
+        const std::uint64_t weight = isCandidate(state, member) ? watcherWeight(self.dataCentre, name) : 0;
+        if (weight > highest) {
+            first = &member;
+            highest = weight;
+        }
+    }
+    return first;
+}
+
 Duration pollPeriod(ReduceContext &context)
 {
     const Duration period = std::max(MinimumPollPeriod, PollPerHost * static_cast<int>(fleetSize(context.state.control)));
--- a/src/quetzallift/control/watchers.h
+++ b/src/quetzallift/control/watchers.h
@@ -7,6 +7,7 @@
 namespace Quetzallift
 {
 struct ControlState;
+struct Member;
 struct ReduceContext;
 
 // Number of hosts of a data centre that watch the rollout object, write connection shares and read the host list often.
@@ -17,6 +18,9 @@
 // which is harmless.
 bool isWatcher(const ControlState &state, std::size_t watchers);
 
+// The other host that is the first watcher of this data centre; null if it is this host.
+const Member *firstWatcher(const ControlState &state);
+
 // The wait of a host that does not watch before its next read from the platform. It grows with the fleet, so that the
 // total rate of such reads stays constant.
 Duration pollPeriod(ReduceContext &context);
--- a/src/quetzallift/edge/peercodec.cpp
+++ b/src/quetzallift/edge/peercodec.cpp
@@ -120,12 +120,14 @@
     void operator()(const TablesRequest &body) const
     {
         fields["kind"] = "tables_request";
+        fields["n"] = body.number;
         fields["configuration"] = body.configuration;
         fields["searchers"] = body.searchers;
     }
     void operator()(const TablesReply &body) const
     {
         fields["kind"] = "tables_reply";
+        fields["n"] = body.number;
         fields["document"] = body.document;
         fields["age_ms"] = toMilliseconds(body.age);
         fields["configuration_version"] = body.configurationVersion;
@@ -146,9 +148,13 @@
         fields["kind"] = "tables_update";
         fields["configuration"] = body.configuration;
         fields["configuration_version"] = body.configurationVersion;
+        if (!body.document.empty()) {
+            fields["document"] = body.document;
+        }
         fields["from"] = body.from;
+        fields["up_to"] = body.upTo;
         fields["to"] = body.to;
-        fields["age_ms"] = toMilliseconds(body.age);
+        fields["grace_ms"] = toMilliseconds(body.grace);
         fields["removed"] = body.changes.removed;
         fields["entries"] = json::array();
         for (const ReportedSearcher &reported : body.changes.entries) {
@@ -157,6 +163,22 @@
             fields["entries"].push_back(std::move(entry));
         }
     }
+    void operator()(const ConfirmationRequest &body) const
+    {
+        fields["kind"] = "confirmation_request";
+        fields["n"] = body.number;
+    }
+    void operator()(const TablesConfirmation &body) const
+    {
+        fields["kind"] = "tables_confirmation";
+        fields["n"] = body.number;
+        fields["held_ms"] = toMilliseconds(body.held);
+        fields["age_ms"] = toMilliseconds(body.age);
+        fields["configuration"] = body.configuration;
+        fields["configuration_version"] = body.configurationVersion;
+        fields["searchers_version"] = body.searchersVersion;
+        fields["changed_version"] = body.changedVersion;
+    }
 };
 
 // Reads a message from one peer; each error names that peer.
@@ -277,6 +299,7 @@
     TablesReply tablesReply()
     {
         TablesReply body;
+        body.number = m_fields.integer("n", 0, UINT64_MAX, 0);
         body.document = m_fields.text("document", std::string(), MaximumPeerMessageSize);
         body.age = m_fields.milliseconds("age_ms", Duration::zero(), MaximumReportedDuration);
         body.configurationVersion = m_fields.integer("configuration_version", 0, UINT64_MAX, 0);
@@ -298,9 +321,11 @@
         TablesUpdate body;
         body.configuration = m_fields.integer("configuration", 0, UINT64_MAX);
         body.configurationVersion = m_fields.integer("configuration_version", 0, UINT64_MAX);
+        body.document = m_fields.text("document", std::string(), MaximumPeerMessageSize);
         body.from = m_fields.integer("from", 0, UINT64_MAX);
+        body.upTo = m_fields.integer("up_to", 0, UINT64_MAX);
         body.to = m_fields.integer("to", 0, UINT64_MAX);
-        body.age = m_fields.milliseconds("age_ms", Duration::zero(), MaximumReportedDuration);
+        body.grace = m_fields.milliseconds("grace_ms", Duration::zero(), MaximumReportedDuration);
         body.changes.removed = m_fields.texts("removed");
         for (JsonFields &item : m_fields.objects("entries")) {
             ReportedSearcher reported{searcherEntry(item), Duration::zero()};
@@ -311,6 +336,19 @@
         return body;
     }
 
+    TablesConfirmation tablesConfirmation()
+    {
+        TablesConfirmation body;
+        body.number = m_fields.integer("n", 0, UINT64_MAX);
+        body.held = m_fields.milliseconds("held_ms", Duration::zero(), MaximumReportedDuration);
+        body.age = m_fields.milliseconds("age_ms", Duration::zero(), MaximumReportedDuration);
+        body.configuration = m_fields.integer("configuration", 0, UINT64_MAX);
+        body.configurationVersion = m_fields.integer("configuration_version", 0, UINT64_MAX);
+        body.searchersVersion = m_fields.integer("searchers_version", 0, UINT64_MAX);
+        body.changedVersion = m_fields.integer("changed_version", 0, UINT64_MAX);
+        return body;
+    }
+
     IndirectProbe indirectProbe()
     {
         IndirectProbe body;
@@ -352,8 +390,9 @@
             return syncRequest();
         }
         if (kind == "tables_request") {
+            const std::uint64_t number = m_fields.integer("n", 0, UINT64_MAX, 0);
             const std::uint64_t configuration = m_fields.integer("configuration", 0, UINT64_MAX);
-            return TablesRequest{configuration, m_fields.flag("searchers", true)};
+            return TablesRequest{configuration, m_fields.flag("searchers", true), number};
         }
         if (kind == "tables_reply") {
             return tablesReply();
@@ -361,6 +400,12 @@
         if (kind == "tables_update") {
             return tablesUpdate();
         }
+        if (kind == "confirmation_request") {
+            return ConfirmationRequest{m_fields.integer("n", 0, UINT64_MAX)};
+        }
+        if (kind == "tables_confirmation") {
+            return tablesConfirmation();
+        }
         if (kind == "sync_reply") {
             std::vector<MemberUpdate> members = updates("members");
             return SyncReply{std::move(members), m_fields.flag("more", false)};
--- a/src/quetzallift/model/peermessage.h
+++ b/src/quetzallift/model/peermessage.h
@@ -78,13 +78,15 @@
     std::uint64_t configuration = 0;
     // False if only the configuration is wanted.
     bool searchers = true;
+    // Returned in the reply, which holds for a time after this request was sent.
+    std::uint64_t number = 0;
 };
 
 struct TablesReply {
     // The operator's document; empty if the receiver already has this version.
     std::string document;
     std::vector<SearcherEntry> searchers;
-    // How long ago the sender's searchers were last known to be up to date with the store.
+    // How long before sending this message the sender's searchers were last known to be up to date with the store.
     Duration age = Duration::zero();
     // The store versions of the configuration and of the searchers; 0 if unknown.
     std::uint64_t configurationVersion = 0;
@@ -92,21 +94,47 @@
     bool withSearchers = true;
     // The listed searchers whose entries are gone from the store, by id, and how much longer the sender keeps each.
     std::map<std::string, Duration> expiring = {};
+    // The number of the request.
+    std::uint64_t number = 0;
 };
 
-// Sent by the store reader of a data centre to its other serving hosts after each complete read of the store; also
-// sent if nothing changed, as a heartbeat.
+// Sent by the store reader of a data centre to its other serving hosts when it has read a change. It may wait on its way, so it
+// does not say that the receiver's tables are up to date; see TablesConfirmation.
 struct TablesUpdate {
     // The operator's version (RouteTable::version) of the configuration in force at the sender.
     std::uint64_t configuration = 0;
     // The store version of that configuration.
     std::uint64_t configurationVersion = 0;
-    // The changes bring a searcher table at the store version `from`, or a later one, to the version `to`.
+    // The operator's document, if the configuration is new; otherwise empty.
+    std::string document = {};
+    // The changes bring a searcher table of a store version between `from` and `upTo` to the version `to`.
     std::uint64_t from = 0;
+    std::uint64_t upTo = 0;
     std::uint64_t to = 0;
-    SearcherPage changes;
-    // How long ago the store last confirmed both the configuration and the searchers.
+    SearcherPage changes = {};
+    // How much longer the sender keeps searchers whose entries were removed; zero unless the store was away before.
+    Duration grace = Duration::zero();
+};
+
+// Asks a host that reads the store to confirm the receiver's tables after its next read.
+struct ConfirmationRequest {
+    std::uint64_t number = 0;
+};
+
+// States which versions of the tables are up to date. The receiver knows when it sent the request, so the time that this message
+// waited on its way counts as age of its tables.
+struct TablesConfirmation {
+    // The number of the request, and how long the sender held the request before it sent this message.
+    std::uint64_t number = 0;
+    Duration held = Duration::zero();
+    // How long before sending this message the store last confirmed both the configuration and the searchers.
     Duration age = Duration::zero();
+    // The operator's version and the store version of the configuration.
+    std::uint64_t configuration = 0;
+    std::uint64_t configurationVersion = 0;
+    // The store version of the searchers, and the version since which they have not changed.
+    std::uint64_t searchersVersion = 0;
+    std::uint64_t changedVersion = 0;
 };
 
 using PeerMessageBody = std::variant<Probe,
@@ -121,7 +149,9 @@
                                      SyncReply,
                                      TablesRequest,
                                      TablesReply,
-                                     TablesUpdate>;
+                                     TablesUpdate,
+                                     ConfirmationRequest,
+                                     TablesConfirmation>;
 
 // One message between entry hosts.
 struct PeerMessage {
--- a/src/quetzallift/model/platform.h
+++ b/src/quetzallift/model/platform.h
@@ -139,5 +139,9 @@
     std::uint64_t version = 0;
     PlatformValue value;
     std::string detail;
+    // True if a watch ended because its time was over, and nothing had changed.
+    bool unchanged = false;
+    // True if the platform may have more changes than this reply to a watch has room for: the reply does not show the present state.
+    bool partial = false;
 };
 }
--- a/tests/control/discovery_test.cpp
+++ b/tests/control/discovery_test.cpp
@@ -81,7 +81,6 @@
     DiscoveryFixture fixture;
     fixture.answerInitialReads({"x"});
     fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::NotApplied, 0);
-    fixture.fire(TimerKind::SearchersRead);
     fixture.answer(PlatformVerb::ListSearchers, PlatformOutcome::Applied, 40, DiscoveryFixture::page({"y"}));
     cr_assert(!fixture.hasSearcher("x") && fixture.hasSearcher("y"));
 }
@@ -113,7 +112,18 @@
     fixture.now += std::chrono::seconds(6);
     PeerMessage reply;
     reply.sender.self = {"peer", {1, 0}, MemberStatus::Live, false, "10.0.0.3:80", "10.0.0.3:81", "a", {}};
+    reply.body = Announcement{};
+    fixture.apply(PeerMessageArrived{"10.0.0.3:81", reply});
+    fixture.messages.clear();
+    fixture.fire(TimerKind::PeerTablesPoll);
+    std::uint64_t number = 0;
+    for (const SendPeerMessage &message : fixture.messages) {
+        if (const auto *request = std::get_if<TablesRequest>(&message.message.body)) {
+            number = request->number;
+        }
+    }
     reply.body = TablesReply{"", {{"x", "s", "10.0.0.2:80", "a", 2, false, {}, 1}, {"y", "s", "10.0.0.2:80", "a", 2, false, {}, 1}}, std::chrono::seconds(1)};
+    std::get<TablesReply>(reply.body).number = number;
     fixture.apply(PeerMessageArrived{"10.0.0.3:81", reply});
     cr_assert(fixture.hasSearcher("x") && fixture.hasSearcher("y") && !fixture.hasSearcher("z"));
     fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 9, DiscoveryFixture::page({"x"}));
--- a/tests/control/discoveryfixture.h
+++ b/tests/control/discoveryfixture.h
@@ -18,7 +18,9 @@
     std::vector<CallPlatform> calls;
     std::vector<StartTimer> timers;
     ControlSnapshotPtr published;
+    // All messages to peers, those of broadcasts too.
     std::vector<SendPeerMessage> messages;
+    std::vector<BroadcastPeerMessage> broadcasts;
 
     DiscoveryFixture()
     {
@@ -60,18 +62,28 @@
                 published = snapshot->snapshot;
             } else if (const auto *message = std::get_if<SendPeerMessage>(&effect)) {
                 messages.push_back(*message);
+            } else if (const auto *broadcast = std::get_if<BroadcastPeerMessage>(&effect)) {
+                broadcasts.push_back(*broadcast);
+                for (const std::string &address : broadcast->addresses) {
+                    messages.push_back({address, broadcast->message});
+                }
             }
         }
     }
 
     // Answers the most recent pending call with the given verb.
     void answer(PlatformVerb verb, PlatformOutcome outcome, std::uint64_t version, PlatformValue value = {})
+    {
+        answer(verb, PlatformReply{outcome, version, std::move(value), {}});
+    }
+
+    void answer(PlatformVerb verb, PlatformReply reply)
     {
         for (auto call = calls.rbegin(); call != calls.rend(); ++call) {
             if (call->request.verb == verb) {
                 const PlatformCallId id = call->call;
                 calls.erase(std::next(call).base());
-                apply(PlatformReplied{id, {outcome, version, std::move(value), {}}});
+                apply(PlatformReplied{id, std::move(reply)});
                 return;
             }
         }
--- a/tests/control/tablesupdate_test.cpp
+++ b/tests/control/tablesupdate_test.cpp
@@ -24,11 +24,36 @@
     }
 
     void receive(PeerMessageBody body)
+    {
+        receiveFrom(peer, std::move(body));
+    }
+
+    void receiveFrom(const MemberUpdate &sender, PeerMessageBody body)
     {
         PeerMessage message;
-        message.sender.self = peer;
+        message.sender.self = sender;
         message.body = std::move(body);
-        apply(PeerMessageArrived{peer.peerAddress, std::move(message)});
+        apply(PeerMessageArrived{sender.peerAddress, std::move(message)});
+    }
+
+    // When the pending watch of the searchers was sent.
+    TimePoint watchSentAt() const
+    {
+        for (const auto &[id, call] : state.control.calls) {
+            if (call.purpose == PlatformPurpose::WatchSearchers) {
+                return call.sentAt;
+            }
+        }
+        cr_assert_fail("no watch of the searchers is pending");
+        return {};
+    }
+
+    // Whether this host watches the searchers itself once its pending watch has ended.
+    bool readsStore()
+    {
+        answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 6, SearcherPage());
+        fire(TimerKind::SearchersRead);
+        return pendingCalls(PlatformVerb::WatchSearchers) == 1;
     }
 
     TablesUpdate update(std::uint64_t from, std::uint64_t to) const
@@ -37,10 +62,30 @@
         update.configuration = 3;
         update.configurationVersion = 4;
         update.from = from;
+        update.upTo = to;
         update.to = to;
         return update;
     }
 
+    // The confirmation of this host's tables that answers its last request.
+    TablesConfirmation confirmation(std::uint64_t version) const
+    {
+        TablesConfirmation confirmation;
+        confirmation.number = sentBodies<ConfirmationRequest>().back().number;
+        confirmation.configuration = 3;
+        confirmation.configurationVersion = 4;
+        confirmation.searchersVersion = version;
+        confirmation.changedVersion = version;
+        return confirmation;
+    }
+
+    // Makes this host ask its reader for a confirmation, which arrives at once.
+    void confirm(std::uint64_t version)
+    {
+        fire(TimerKind::PeerTablesPoll);
+        receive(confirmation(version));
+    }
+
     template<typename Body>
     std::vector<Body> sentBodies() const
     {
@@ -66,7 +111,7 @@
 Test(tablesupdate, hostWithRelayedTablesDoesNotReadStore)
 {
     TwoHostsFixture fixture(true);
-    fixture.receive(fixture.update(5, 5));
+    fixture.confirm(5);
     fixture.answer(PlatformVerb::WatchConfiguration, PlatformOutcome::Applied, 6);
     fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 6, SearcherPage());
     fixture.fire(TimerKind::SearchersRead);
@@ -78,7 +123,7 @@
 Test(tablesupdate, readsStoreWithinTwoSecondsOfReaderSilence)
 {
     TwoHostsFixture fixture(true);
-    fixture.receive(fixture.update(5, 5));
+    fixture.confirm(5);
     const TimePoint updatedAt = fixture.now;
     fixture.answer(PlatformVerb::WatchConfiguration, PlatformOutcome::Applied, 6);
     fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 6, SearcherPage());
@@ -92,16 +137,164 @@
     }
 }
 
-// Guards against treating tables as current because of an update whose sender has not read the store recently.
-Test(tablesupdate, oldUpdateDoesNotConfirmTables)
+// Guards against treating tables as current because of a host that has not read the store recently.
+Test(tablesupdate, oldConfirmationDoesNotConfirmTables)
 {
     TwoHostsFixture fixture(true);
-    TablesUpdate update = fixture.update(5, 5);
-    update.age = std::chrono::seconds(3);
-    fixture.receive(update);
-    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 6, SearcherPage());
+    fixture.fire(TimerKind::PeerTablesPoll);
+    TablesConfirmation confirmation = fixture.confirmation(5);
+    confirmation.age = std::chrono::seconds(3);
+    fixture.receive(confirmation);
+    cr_assert(fixture.readsStore());
+}
+
+// Guards against requests to a searcher that left seconds ago: the reader's messages wait in its connections, and its followers
+// take them for fresh and do not read the store.
+Test(tablesupdate, updatesThatWaitDoNotConfirmTables)
+{
+    TwoHostsFixture fixture(true);
+    for (int number = 0; number < 6; ++number) {
+        fixture.now += std::chrono::milliseconds(500);
+        fixture.receive(fixture.update(5, 5));
+    }
+    cr_assert(fixture.readsStore());
+}
+
+// The same for a confirmation that waits on its way.
+Test(tablesupdate, confirmationThatWaitsIsOld)
+{
+    TwoHostsFixture fixture(true);
+    fixture.fire(TimerKind::PeerTablesPoll);
+    const TimePoint requestedAt = fixture.now;
+    TablesConfirmation confirmation = fixture.confirmation(5);
+    confirmation.held = std::chrono::seconds(1);
+    confirmation.age = std::chrono::milliseconds(100);
+    fixture.now += std::chrono::seconds(4);
+    fixture.receive(confirmation);
+    cr_assert(fixture.state.control.discovery.relayedReadAt == requestedAt + std::chrono::milliseconds(900));
+    cr_assert(fixture.readsStore());
+}
+
+// Guards against a reader that is short of processor time and takes replies of the store that waited for it for fresh ones.
+Test(tablesupdate, replyThatWaitedForTheReaderIsOld)
+{
+    TwoHostsFixture fixture(false);
+    fixture.receive(ConfirmationRequest{7});
+    fixture.answer(PlatformVerb::WatchConfiguration, PlatformOutcome::Applied, 6);
+    fixture.messages.clear();
+    fixture.receive(ConfirmationRequest{8});
+    const TimePoint sentAt = fixture.watchSentAt();
+    fixture.now += std::chrono::seconds(3);
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 9, DiscoveryFixture::page({"z"}));
+    cr_assert(fixture.state.control.discovery.searchersReadAt == sentAt);
+    const std::vector<TablesConfirmation> sent = fixture.sentBodies<TablesConfirmation>();
+    cr_assert_eq(sent.size(), 1U);
+    cr_assert_eq(sent.at(0).number, 8U);
+    cr_assert(sent.at(0).age >= std::chrono::seconds(3));
+    cr_assert(sent.at(0).held == std::chrono::seconds(3));
+}
+
+// Guards against a host that takes a reply with as many changes as fit into it for the present state, and pauses before it reads on.
+Test(tablesupdate, partialChangesDoNotConfirmTables)
+{
+    TwoHostsFixture fixture(false);
+    fixture.answer(PlatformVerb::WatchConfiguration, PlatformOutcome::Applied, 6);
+    fixture.receive(ConfirmationRequest{7});
+    fixture.messages.clear();
+    const auto readAt = fixture.state.control.discovery.searchersReadAt;
+    PlatformReply reply{PlatformOutcome::Applied, 9, DiscoveryFixture::page({"z"}), {}};
+    reply.partial = true;
+    fixture.answer(PlatformVerb::WatchSearchers, reply);
+    cr_assert(fixture.hasSearcher("z"));
+    cr_assert_eq(fixture.sentBodies<TablesUpdate>().size(), 1U);
+    cr_assert(fixture.sentBodies<TablesConfirmation>().empty());
+    cr_assert(fixture.state.control.discovery.searchersReadAt == readAt);
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 10, DiscoveryFixture::page({"w"}));
+    cr_assert_eq(fixture.sentBodies<TablesConfirmation>().size(), 1U);
+}
+
+// Guards against needless reads of the store: a watch that saw no change is newer than its start.
+Test(tablesupdate, watchWithoutChangeHoldsForItsEnd)
+{
+    TwoHostsFixture fixture(false);
+    const TimePoint sentAt = fixture.watchSentAt();
+    fixture.now += std::chrono::seconds(1);
+    PlatformReply reply{PlatformOutcome::Applied, 9, SearcherPage(), {}};
+    reply.unchanged = true;
+    fixture.answer(PlatformVerb::WatchSearchers, reply);
+    cr_assert(fixture.state.control.discovery.searchersReadAt == sentAt + std::chrono::milliseconds(800));
+}
+
+// Guards against a reader that confirms too late after a change, so that the hosts that follow it all read the store.
+Test(tablesupdate, watchAfterChangeIsShort)
+{
+    TwoHostsFixture fixture(false);
+    fixture.now = fixture.watchSentAt() + std::chrono::milliseconds(700);
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 9, DiscoveryFixture::page({"z"}));
     fixture.fire(TimerKind::SearchersRead);
-    cr_assert_eq(fixture.pendingCalls(PlatformVerb::WatchSearchers), 1U);
+    cr_assert_leq(fixture.calls.back().request.timeout.count(), Duration(std::chrono::milliseconds(200)).count());
+}
+
+// Guards against whole tables for every host after a confirmation that overtook its update.
+Test(tablesupdate, confirmationMayOvertakeItsUpdate)
+{
+    TwoHostsFixture fixture(true);
+    fixture.fire(TimerKind::PeerTablesPoll);
+    fixture.receive(fixture.confirmation(9));
+    cr_assert(fixture.sentBodies<TablesRequest>().empty());
+    TablesUpdate update = fixture.update(5, 9);
+    update.changes.removed = {"x"};
+    fixture.receive(update);
+    fixture.now += std::chrono::seconds(1);
+    fixture.receive(fixture.confirmation(9));
+    cr_assert(fixture.sentBodies<TablesRequest>().empty());
+    cr_assert(fixture.state.control.discovery.relayedReadAt.has_value());
+    fixture.receive(fixture.confirmation(12));
+    fixture.now += std::chrono::seconds(1);
+    fixture.receive(fixture.confirmation(12));
+    cr_assert_eq(fixture.sentBodies<TablesRequest>().size(), 1U);
+}
+
+// Guards against a reader that is busy for seconds with a message that it encodes anew for each of its followers.
+Test(tablesupdate, changesAreEncodedOnceForAllHosts)
+{
+    constexpr std::size_t Followers = 50;
+    TwoHostsFixture fixture(false);
+    for (std::size_t number = 1; number < Followers; ++number) {
+        MemberUpdate follower = fixture.peer;
+        follower.name += "-" + std::to_string(number);
+        follower.peerAddress = "10.0.1." + std::to_string(number) + ":81";
+        while (rendezvousWeight("watch/", follower.name) > rendezvousWeight("watch/", "host")) {
+            follower.name += "x";
+        }
+        fixture.receiveFrom(follower, Announcement{});
+    }
+    fixture.broadcasts.clear();
+    fixture.messages.clear();
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 9, DiscoveryFixture::page({"z"}));
+    cr_assert_eq(fixture.broadcasts.size(), 1U);
+    cr_assert_eq(fixture.broadcasts.at(0).addresses.size(), Followers);
+    cr_assert_eq(fixture.messages.size(), Followers);
+}
+
+// Guards against whole tables for every host after the store has dropped its history: the reader lists, and its followers, which
+// have the table that it had before, only need the difference.
+Test(tablesupdate, listAfterLostHistoryIsRelayedAsChanges)
+{
+    TwoHostsFixture reader(false);
+    reader.answer(PlatformVerb::WatchSearchers, PlatformOutcome::NotApplied, 0);
+    reader.answer(PlatformVerb::ListSearchers, PlatformOutcome::Applied, 20, DiscoveryFixture::page({"y", "z"}));
+    const std::vector<TablesUpdate> sent = reader.sentBodies<TablesUpdate>();
+    cr_assert_eq(sent.size(), 1U);
+    cr_assert_eq(sent.at(0).changes.entries.size(), 1U);
+    TwoHostsFixture follower(true);
+    follower.receive(sent.at(0));
+    cr_assert(!follower.hasSearcher("x") && follower.hasSearcher("y") && follower.hasSearcher("z"));
+    cr_assert(follower.sentBodies<TablesRequest>().empty());
+    TwoHostsFixture ahead(true);
+    ahead.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 9, DiscoveryFixture::page({"w"}));
+    ahead.receive(sent.at(0));
+    cr_assert_eq(ahead.sentBodies<TablesRequest>().size(), 1U);
 }
 
 // Guards against losing searchers between updates, and against applying changes that start after the known version.
--- a/tests/edge/peercodec_test.cpp
+++ b/tests/edge/peercodec_test.cpp
@@ -69,20 +69,35 @@
     update.configurationVersion = 30;
     update.from = 31;
     update.to = 35;
-    update.age = std::chrono::milliseconds(700);
+    update.upTo = 33;
+    update.document = "{}";
+    update.grace = std::chrono::milliseconds(700);
     update.changes.entries.push_back({{"x", "s", "10.0.0.2:80", "a", 2, true, {}, 9}, std::chrono::milliseconds(250)});
     update.changes.removed = {"y"};
     const TablesUpdate read = std::get<TablesUpdate>(roundTrip(update).body);
     cr_assert_eq(read.configuration, 8U);
     cr_assert_eq(read.configurationVersion, 30U);
-    cr_assert(read.from == 31U && read.to == 35U);
-    cr_assert(read.age == std::chrono::milliseconds(700));
+    cr_assert(read.from == 31U && read.upTo == 33U && read.to == 35U);
+    cr_assert_eq(read.document, "{}");
+    cr_assert(read.grace == std::chrono::milliseconds(700));
     cr_assert_eq(read.changes.removed.at(0), "y");
     const ReportedSearcher &reported = read.changes.entries.at(0);
     cr_assert(reported.entry.id == "x" && reported.entry.draining && reported.entry.startedAtMs == 9U);
     cr_assert(reported.coldFor == std::chrono::milliseconds(250));
 }
 
+// Guards against a confirmation whose age or versions change on the way, so that a host takes old tables for current ones.
+Test(peercodec, confirmationRoundTrips)
+{
+    cr_assert_eq(std::get<ConfirmationRequest>(roundTrip(ConfirmationRequest{7}).body).number, 7U);
+    TablesConfirmation confirmation{7, std::chrono::milliseconds(900), std::chrono::milliseconds(30), 8, 30, 35, 33};
+    const TablesConfirmation read = std::get<TablesConfirmation>(roundTrip(confirmation).body);
+    cr_assert_eq(read.number, 7U);
+    cr_assert(read.held == std::chrono::milliseconds(900) && read.age == std::chrono::milliseconds(30));
+    cr_assert(read.configuration == 8U && read.configurationVersion == 30U);
+    cr_assert(read.searchersVersion == 35U && read.changedVersion == 33U);
+}
+
 // Guards against tables whose receiver takes a searcher that is about to be dropped for a live one.
 Test(peercodec, tablesReplyRoundTripsWithExpiringSearchers)
 {
--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -34,6 +34,22 @@
 }
 }
 
+// Guards against a reply that was cut at the store's limit and is taken for all changes.
+Test(storecodec, longRepliesToWatchesMayBePartial)
+{
+    const auto events = [](std::size_t count) {
+        std::string body = R"({"as-of":9,"events":[)";
+        for (std::size_t number = 0; number < count; ++number) {
+            body += (number == 0 ? "" : ",") + std::string(R"({"deleted":false,"object":)") + object("x" + std::to_string(number), Ready) + "}";
+        }
+        return responded(200, body + "]}");
+    };
+    cr_assert(decode(PlatformVerb::WatchSearchers, events(500)).partial);
+    cr_assert_not(decode(PlatformVerb::WatchSearchers, events(2)).partial);
+    cr_assert_not(decode(PlatformVerb::WatchSearchers, events(2)).unchanged);
+    cr_assert(decode(PlatformVerb::WatchSearchers, events(0)).unchanged);
+}
+
 // Guards against a route that loses one of its limits on the way into the product.
 Test(storecodec, routesKeepEveryField)
 {
