Remember what a searcher stated after its entry is removed

A searcher that says in an answer that it is leaving gets no more requests. The host kept that with the searcher's entry, so that an entry that was removed and came back, as after an outage of the metadata store or with older tables of a peer, was used as if nothing had been said.

What is known of a searcher now outlives its entry by ten minutes: departure, refusals, limits, ejections. A searcher that restarted under its id, or moved, begins anew as before.

Test: statements/departureOutlivesTheEntryOfTheSearcher. It was not run without the change.

--- a/src/quetzallift/routing/applysnapshot.cpp
+++ b/src/quetzallift/routing/applysnapshot.cpp
@@ -14,13 +14,26 @@
 // searcher has not closed yet.
 constexpr double ConnectionReserve = 0.1;
 
+// A searcher serves on for some time after it has left; nothing is remembered much longer.
+constexpr Duration FormerSearcherTime = std::chrono::minutes(10);
+
+SearcherLoadPtr knownLoad(const RoutingState &state, const std::string &id)
+{
+    if (const auto found = state.searchers.find(id); found != state.searchers.end()) {
+        return found->second;
+    }
+    const auto former = state.formerSearchers.find(id);
+    return former == state.formerSearchers.end() ? nullptr : former->second.load;
+}
+
 SearcherLoadPtr loadOf(const RoutingState &state, const SearcherEntry &entry)
 {
-    const auto found = state.searchers.find(entry.id);
+    SearcherLoadPtr load = knownLoad(state, entry.id);
     // Observations of the earlier process do not apply to a searcher that restarted under its id or moved.
-    const bool same = found != state.searchers.end() && found->second->entry.startedAtMs == entry.startedAtMs && found->second->entry.address == entry.address
-                      && found->second->entry.service == entry.service;
-    SearcherLoadPtr load = same ? found->second : SearcherLoadPtr(new SearcherLoad);
+    const bool same = load && load->entry.startedAtMs == entry.startedAtMs && load->entry.address == entry.address && load->entry.service == entry.service;
+    if (!same) {
+        load = SearcherLoadPtr(new SearcherLoad);
+    }
     load->entry = entry;
     return load;
 }
@@ -38,7 +51,13 @@
             load->entry.draining = true;
             context.emit(CloseIdleConnections{id});
         }
+        if (kept == searchers.end()) {
+            state.formerSearchers[id] = {load, context.now};
+        }
     }
+    std::erase_if(state.formerSearchers, [&](const auto &former) {
+        return searchers.contains(former.first) || former.second.removedAt + FormerSearcherTime < context.now;
+    });
     state.searchers = std::move(searchers);
     for (auto &[name, service] : state.services) {
         service.searchers.clear();
--- a/src/quetzallift/routing/routingstate.h
+++ b/src/quetzallift/routing/routingstate.h
@@ -14,6 +14,12 @@
 
 namespace Quetzallift
 {
+// A searcher whose entry was removed, and when.
+struct FormerSearcher {
+    SearcherLoadPtr load;
+    TimePoint removedAt;
+};
+
 // The part of a traffic thread's state that covers requests forwarded to searchers.
 struct RoutingState {
     RetryAllowance allowance;
@@ -21,6 +27,9 @@
     std::unordered_map<QueryId, RunningRequest> requests;
     std::unordered_map<AttemptId, ForwardAttempt> attempts;
     std::map<std::string, SearcherLoadPtr> searchers;
+    // Searchers that are no longer in the table. Their entries may come back, as after an outage of the metadata store, and what they
+    // stated then still holds.
+    std::map<std::string, FormerSearcher> formerSearchers;
     std::map<std::string, ServiceLoad> services;
     // Keyed by the name of the route.
     std::map<std::string, RouteLatency> latencies;
--- a/tests/routing/statements_test.cpp
+++ b/tests/routing/statements_test.cpp
@@ -61,6 +61,27 @@
     cr_assert_eq(fixture.last<ForwardRequest>().size(), 1U);
 }
 
+// Guards against requests to a searcher that said that it is leaving, once its entry is removed and comes back, as after an outage of the
+// metadata store.
+Test(statements, departureOutlivesTheEntryOfTheSearcher)
+{
+    RoutingFixture fixture = oneSearcher();
+    const SearcherEntry entry = fixture.searchers->entries.at("x");
+    fixture.send("/one/");
+    replyWith(fixture, fixture.last<ForwardRequest>().at(0).attempt, ForwardReplyKind::Success, departure());
+    fixture.searchers->entries.erase("x");
+    fixture.publish();
+    fixture.advance(Millis(2000));
+    fixture.searchers->entries["x"] = entry;
+    fixture.publish();
+    fixture.send("/one/");
+    cr_assert(fixture.last<ForwardRequest>().empty());
+    fixture.searchers->entries["x"].startedAtMs = 2;
+    fixture.publish();
+    fixture.send("/one/");
+    cr_assert_eq(fixture.last<ForwardRequest>().size(), 1U);
+}
+
 // Guards against a departure that is missed since the answer came after its request had been answered.
 Test(statements, lateReplyOfALeavingSearcherCounts)
 {
