Keep the longest time for which a searcher takes no requests

Two requests that were sent together can be refused with different times. The reply that came last decided, so that a searcher which had asked for 5 s got requests again after the 0.5 s of another reply. Each reply holds now.

Test: statements/shorterRefusalDoesNotEndALongerOne, which failed before.

--- a/src/quetzallift/routing/searcherstatements.cpp
+++ b/src/quetzallift/routing/searcherstatements.cpp
@@ -55,7 +55,8 @@
 void recordRefusal(ReduceContext &context, SearcherLoad &searcher, Duration refusesFor)
 {
     const bool refusing = context.now < searcher.refusesUntil;
-    searcher.refusesUntil = context.now + refusesFor;
+    // Replies to requests that were sent together may state different times; each of them holds.
+    searcher.refusesUntil = std::max(searcher.refusesUntil, context.now + refusesFor);
     searcher.returning = true;
     if (!refusing) {
         const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(refusesFor).count();
--- a/tests/routing/statements_test.cpp
+++ b/tests/routing/statements_test.cpp
@@ -125,6 +125,24 @@
     cr_assert_eq(fixture.last<ForwardRequest>().size(), 1U);
 }
 
+// Guards against requests to a searcher before the time that it stated, because another of its replies stated a shorter one.
+Test(statements, shorterRefusalDoesNotEndALongerOne)
+{
+    RoutingFixture fixture = oneSearcher();
+    fixture.send("/one/");
+    fixture.send("/one/");
+    const AttemptId first{1};
+    const AttemptId second{2};
+    replyWith(fixture, first, ForwardReplyKind::NotExecuted, refusal(Millis(5000)));
+    replyWith(fixture, second, ForwardReplyKind::NotExecuted, refusal(Millis(500)));
+    fixture.advance(Millis(2000));
+    fixture.send("/one/");
+    cr_assert(fixture.last<ForwardRequest>().empty());
+    fixture.advance(Millis(3000));
+    fixture.send("/one/");
+    cr_assert_eq(fixture.last<ForwardRequest>().size(), 1U);
+}
+
 // Guards against a searcher that is met by everything that was held back once its refusal ends.
 Test(statements, refusingSearcherGetsOneRequestFirst)
 {
