Bound store calls by the rates that the platform states

Hosts divided 1,500 reads a second among them, whatever the store sustains. On the large site, where it sustains 16,000, a host of 295 got five a second: a list of 1,362 searchers that comes in 28 pages took four seconds, in which the host kept searchers that had left. The settings now hold the platform's rates, of which the hosts use three quarters (reads) and five eighths (writes) as before.

The line that names another source of a confirmation is no longer written for a confirmation that is older than what the host knows.

Tests: callbudget/ratesOfThePlatformBoundTheCalls, settings/ratesOfThePlatformAreRead. Both use new fields, so they were not run without the change.

--- a/src/quetzallift/app/entryhost.cpp
+++ b/src/quetzallift/app/entryhost.cpp
@@ -23,6 +23,7 @@
                }})
 {
     m_loop.state().control.self = m_settings.host;
+    m_loop.state().control.callBudget = m_settings.callBudget;
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
     };
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -97,6 +97,21 @@
 }
 }
 
+namespace
+{
+// The platform's rates, of which the hosts use a part.
+CallBudget decodeCallBudget(JsonFields &platform)
+{
+    constexpr double HighestRate = 1e9;
+    constexpr double ReadShare = 0.75;
+    constexpr double WriteShare = 0.625;
+    CallBudget budget;
+    budget.fleetReadsPerSecond = ReadShare * platform.number("reads_per_s", 1.0, HighestRate, budget.fleetReadsPerSecond / ReadShare);
+    budget.fleetWritesPerSecond = WriteShare * platform.number("writes_per_s", 1.0, HighestRate, budget.fleetWritesPerSecond / WriteShare);
+    return budget;
+}
+}
+
 std::string readFile(const std::string &file)
 {
     std::ifstream stream(file, std::ios::binary);
@@ -121,6 +136,7 @@
     settings.host = decodeHost(fields.object("host"));
     JsonFields platform = fields.object("platform");
     settings.platform = address(platform, "address");
+    settings.callBudget = decodeCallBudget(platform);
     platform.rejectUnknown();
     if (fields.has("routes")) {
         settings.routes = decodeRouteSettings(fields.object("routes"), settings.host.reloadable.allowance);
--- a/src/quetzallift/app/settings.h
+++ b/src/quetzallift/app/settings.h
@@ -21,6 +21,7 @@
     HostIdentity host;
     // The platform's "ip:port".
     std::string platform;
+    CallBudget callBudget;
     // Set if the platform holds a configuration of routes rather than bundles.
     std::optional<RouteSettings> routes = {};
     // Who may approve bundles; never empty for a host that runs bundles.
--- a/src/quetzallift/control/callbudget.cpp
+++ b/src/quetzallift/control/callbudget.cpp
@@ -8,10 +8,6 @@
 {
 using Seconds = std::chrono::duration<double>;
 
-// The platform sustains about 2,000 reads and several hundred writes per second; the remainder is reserved for operators
-// and for hosts that are not in the host list yet.
-constexpr double FleetReadsPerSecond = 1500;
-constexpr double FleetWritesPerSecond = 250;
 // A host makes five calls at the same time when it starts.
 constexpr double MinimumBurst = 8;
 
@@ -24,8 +20,8 @@
 Duration takeCall(CallBudget &budget, bool write, std::size_t hosts, TimePoint now, Duration limit)
 {
     const auto divisor = static_cast<double>(std::max<std::size_t>(hosts, 1));
-    const double readRate = FleetReadsPerSecond / divisor;
-    const double writeRate = FleetWritesPerSecond / divisor;
+    const double readRate = budget.fleetReadsPerSecond / divisor;
+    const double writeRate = budget.fleetWritesPerSecond / divisor;
     const Seconds passed = budget.refilledAt == TimePoint() ? Seconds(0) : Seconds(now - budget.refilledAt);
     budget.refilledAt = now;
     refill(budget.reads, readRate, passed);
--- a/src/quetzallift/control/discovery/storereading.cpp
+++ b/src/quetzallift/control/discovery/storereading.cpp
@@ -70,7 +70,8 @@
 void recordConfirmation(ReduceContext &context, const std::string &source, TimePoint readAt)
 {
     DiscoveryState &discovery = context.state.control.discovery;
-    if (source == discovery.confirmedBy) {
+    const bool newer = !discovery.searchersReadAt || readAt > *discovery.searchersReadAt;
+    if (source == discovery.confirmedBy || !newer) {
         return;
     }
     const auto ageMs = [&context](TimePoint at) {
--- a/src/quetzallift/control/discovery/storereading.h
+++ b/src/quetzallift/control/discovery/storereading.h
@@ -22,8 +22,8 @@
 // changes. `readAt` is the latest time for which the watched table is known to be up to date.
 Duration watchTime(const ReduceContext &context, const std::optional<TimePoint> &readAt, Duration longest);
 
-// Records that the searchers known here were confirmed by the store itself or by the named host, and logs a change of the source. The
-// searchers were up to date at the given time.
+// Logs that the searchers known here are now confirmed by another source: the store itself or the named host. They were up to date at
+// the given time; a confirmation that is older than the last one is no news.
 void recordConfirmation(ReduceContext &context, const std::string &source, TimePoint readAt);
 
 // Starts the timer after which a host that does not read the store checks again whether it must.
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -64,3 +64,18 @@
         cr_assert(error.find(expected) != std::string::npos, "%s lacks %s", error.c_str(), expected.c_str());
     }
 }
+
+// Guards against hosts that keep to other rates than those that the platform states.
+Test(settings, ratesOfThePlatformAreRead)
+{
+    const std::string routes = R"("routes":{"directory_address":"10.0.0.1:82","readiness_address":"10.0.0.1:83","metrics_address":"10.0.0.1:84"})";
+    const auto budgetOf = [&routes](const std::string &platform) {
+        return decodeSettings("{" + HostPart + "," + platform + "," + routes + "}", "test").callBudget;
+    };
+    const CallBudget stated = budgetOf(R"("platform":{"address":"10.0.0.2:80","reads_per_s":16000,"writes_per_s":3200})");
+    cr_assert_float_eq(stated.fleetReadsPerSecond, 12000.0, 1e-6);
+    cr_assert_float_eq(stated.fleetWritesPerSecond, 2000.0, 1e-6);
+    const CallBudget unstated = budgetOf(PlatformPart);
+    cr_assert_float_eq(unstated.fleetReadsPerSecond, 1500.0, 1e-6);
+    cr_assert_float_eq(unstated.fleetWritesPerSecond, 250.0, 1e-6);
+}
--- a/tests/control/callbudget_test.cpp
+++ b/tests/control/callbudget_test.cpp
@@ -31,3 +31,18 @@
     cr_assert_gt(wait.count(), 0);
     cr_assert_eq(takeCall(budget, true, 250, now, Duration::zero()).count(), wait.count());
 }
+
+// Guards against hosts of a large fleet that read a long list of searchers for seconds although the platform sustains more calls.
+Test(callbudget, ratesOfThePlatformBoundTheCalls)
+{
+    constexpr std::size_t Hosts = 295;
+    constexpr int Pages = 28;
+    CallBudget budget;
+    budget.fleetReadsPerSecond = 12000;
+    const TimePoint start = TimePoint() + std::chrono::hours(1);
+    TimePoint now = start;
+    for (int page = 0; page < Pages; ++page) {
+        now += takeCall(budget, false, Hosts, now, std::chrono::seconds(1));
+    }
+    cr_assert_lt((now - start).count(), Duration(std::chrono::milliseconds(600)).count());
+}
