Encode names in the URLs of calls to the store

Callers saw almost no request served after all hosts had restarted while an entry of another writer stood among the searchers, under a name with a character that has a meaning in URLs, and the list had several pages.

Cause: such a name, as the last of its page, became the place at which the list goes on, and stood in the query of the URL as it was. The store got a cut or changed name and sent the same page again, without end, or libcurl refused the URL. A running host watches instead of listing, so only restarts showed it. The name of a host in the path of its entry had the same fault.

One pair of functions on libcurl now encodes and decodes parts of URLs, for both adapters, the HTTP server and the load generator. Every byte that is not unreserved is encoded, so that no name can change the URL around it. The object API's own function for this is gone.

--- a/src/quetzallift/edge/httpexchange.cpp
+++ b/src/quetzallift/edge/httpexchange.cpp
@@ -1,12 +1,11 @@
 #include "quetzallift/edge/httpexchange.h"
 
 #include "quetzallift/edge/serverconnection.h"
+#include "quetzallift/edge/urlencoding.h"
 
 #include <boost/beast/core/string.hpp>
-#include <curl/curl.h>
 
 #include <algorithm>
-#include <memory>
 #include <string_view>
 #include <utility>
 
@@ -14,24 +13,12 @@
 {
 namespace
 {
-// Decodes percent-encoded bytes.
-std::string unescape(std::string_view text)
-{
-    // libcurl takes a length of 0 for a string that ends with a null byte.
-    if (text.empty()) {
-        return {};
-    }
-    int size = 0;
-    const std::unique_ptr<char, decltype(&curl_free)> decoded(curl_easy_unescape(nullptr, text.data(), static_cast<int>(text.size()), &size), &curl_free);
-    return decoded == nullptr ? std::string() : std::string(decoded.get(), static_cast<std::size_t>(size));
-}
-
 // Decodes a name or value of a query string, in which a plus sign stands for a space.
 std::string unescapeArgument(std::string_view text)
 {
     std::string spaced(text);
     std::replace(spaced.begin(), spaced.end(), '+', ' ');
-    return unescape(spaced);
+    return decodeUrlComponent(spaced);
 }
 }
 
@@ -49,7 +36,7 @@
 
 std::string HttpExchange::path() const
 {
-    return unescape(std::string_view(m_request.target).substr(0, m_request.target.find('?')));
+    return decodeUrlComponent(std::string_view(m_request.target).substr(0, m_request.target.find('?')));
 }
 
 const std::string &HttpExchange::target() const
--- a/src/quetzallift/edge/platformhttp.cpp
+++ b/src/quetzallift/edge/platformhttp.cpp
@@ -1,10 +1,12 @@
 #include "quetzallift/edge/platformhttp.h"
 
 #include "quetzallift/edge/platformcodec.h"
+#include "quetzallift/edge/urlencoding.h"
 #include "quetzallift/model/error.h"
 
-#include <cctype>
+#include <algorithm>
 #include <charconv>
+#include <string_view>
 
 namespace Quetzallift
 {
@@ -17,24 +19,17 @@
 // The timeout of a watch's HTTP request is its wait time plus this margin, within which the platform's answer must arrive.
 constexpr Duration WatchMargin = std::chrono::seconds(1);
 
-// Percent-encodes the characters that a path may not hold; names of callers and requests are free text.
-std::string encodePath(const std::string &name)
+// The path of an object. A name has segments, whose texts callers and requests choose.
+std::string encodePath(std::string_view name)
 {
-    constexpr char Digits[] = "0123456789ABCDEF";
     std::string encoded;
-    for (const char c : name) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '/') {
-            encoded += c;
-        } else {
-            encoded += '%';
-            encoded += Digits[byte >> 4U];
-            encoded += Digits[byte & 15U];
-        }
+    for (std::size_t begin = 0; begin <= name.size();) {
+        const std::size_t end = std::min(name.find('/', begin), name.size());
+        encoded += (begin == 0 ? "" : "/") + encodeUrlComponent(name.substr(begin, end - begin));
+        begin = end + 1;
     }
     return encoded;
 }
-
 }
 
 HttpRequest encodePlatformCall(const std::string &address, const PlatformRequest &request)
--- a/stand_ins/load/caller.cpp
+++ b/stand_ins/load/caller.cpp
@@ -1,6 +1,7 @@
 #include "stand_ins/load/caller.h"
 
 #include "quetzallift/edge/eventloop.h"
+#include "quetzallift/edge/urlencoding.h"
 #include "stand_ins/load/checker.h"
 
 #include <nlohmann/json.hpp>
@@ -36,7 +37,7 @@
     , m_random(seed)
     , m_runName(m_settings.name + "-" + std::to_string(std::random_device{}()))
     , m_client(loop, m_settings.localAddress)
-    , m_addresses(loop, m_client, plan.hosts, "data_centre=" + m_settings.dataCentre + "&caller=" + m_settings.name)
+    , m_addresses(loop, m_client, plan.hosts, "data_centre=" + encodeUrlComponent(m_settings.dataCentre) + "&caller=" + encodeUrlComponent(m_settings.name))
 { }
 
 const CallerPlan &Caller::settings() const
--- a/tests/platform/soak/deployment.cpp
+++ b/tests/platform/soak/deployment.cpp
@@ -64,6 +64,7 @@
     m_store = std::make_unique<MetadataStore>(loop, m_network + "2:8200", m_options.seed);
     m_store->put("config", "main", m_configurations.newest().document());
     addSeats();
+    addForeignEntries();
     addHosts();
     watchProcesses();
 }
@@ -157,6 +158,16 @@
     startSearcher(seat);
 }
 
+void Deployment::addForeignEntries()
+{
+    constexpr unsigned Copies = 3;
+    for (const char c : std::string(" #%&+/?")) {
+        for (unsigned copy = 0; copy < Copies; ++copy) {
+            m_store->put("servers", std::string(1, c) + "foreign-" + std::to_string(copy), {{"state", "unknown"}});
+        }
+    }
+}
+
 std::string Deployment::clientLinkOf(const std::string &hostAddress) const
 {
     return hostAddress.substr(0, hostAddress.find(':')) + ":8202";
--- a/tests/platform/soak/deployment.h
+++ b/tests/platform/soak/deployment.h
@@ -103,6 +103,9 @@
     void addHosts();
     void addSeats();
     void addSeat(const std::string &service);
+    // Enters objects of another program among the searchers, under names with characters that have a meaning in URLs, so that
+    // such names end pages of the list.
+    void addForeignEntries();
     void watchProcesses();
     void noteExit(std::size_t host, int status);
 
