Replace values that are not valid JSON alone

Callers lose every searcher of a host that starts while one entry in the list holds NaN, an infinity, a lone surrogate, an unknown escape or a control character, as lenient writers encode them; a running host stops following its searchers. Cause: such a text is not JSON, so that the whole page or all events failed; only invalid UTF-8, depth and the range of numbers were replaced.

Each string, number or word that the JSON library does not accept by itself is now replaced, as null or as an empty string. The entry then lacks a value and is left out alone.

--- a/src/quetzallift/edge/sharedjson.cpp
+++ b/src/quetzallift/edge/sharedjson.cpp
@@ -5,8 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <cmath>
-#include <cstdlib>
+#include <cctype>
+#include <string_view>
 
 namespace Quetzallift
 {
@@ -22,7 +22,7 @@
     return nlohmann::json::parse(quoted).get<std::string>();
 }
 
-// Copies a JSON text and replaces values that parseJson() does not accept by null.
+// Copies a JSON text and replaces values that parseJson() does not accept.
 class Replacer
 {
 public:
@@ -35,13 +35,13 @@
         while (m_at < m_text.size()) {
             const char c = m_text[m_at];
             if (c == '"') {
-                copy(endOfString());
+                copyIfValid(endOfString(), "\"\"");
             } else if (c == '[' || c == '{') {
                 open();
             } else if (c == ']' || c == '}') {
                 close();
-            } else if (c == '-' || (c >= '0' && c <= '9')) {
-                copyNumber();
+            } else if (isScalar(c)) {
+                copyIfValid(endOfScalar(), "null");
             } else {
                 copy(m_at + 1);
             }
@@ -50,6 +50,21 @@
     }
 
 private:
+    // True for the characters of numbers and of words such as true.
+    static bool isScalar(char c)
+    {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '+' || c == '-' || c == '.';
+    }
+
+    std::size_t endOfScalar() const
+    {
+        std::size_t at = m_at;
+        while (at < m_text.size() && isScalar(m_text[at])) {
+            ++at;
+        }
+        return at;
+    }
+
     std::size_t endOfString() const
     {
         std::size_t at = m_at + 1;
@@ -82,15 +97,14 @@
         m_depth -= m_depth > 0 ? 1 : 0;
     }
 
-    void copyNumber()
+    // Copies a string, number or word, or puts the replacement in its place if it is not valid or beyond the range of a double.
+    void copyIfValid(std::size_t end, std::string_view replacement)
     {
-        const std::size_t end = std::min(m_text.find_first_not_of("+-.0123456789eE", m_at), m_text.size());
-        const std::string number = m_text.substr(m_at, end - m_at);
-        if (std::isfinite(std::strtod(number.c_str(), nullptr))) {
+        if (nlohmann::json::accept(std::string_view(m_text).substr(m_at, end - m_at))) {
             copy(end);
             return;
         }
-        m_result += m_depth <= MaximumDepth ? "null" : "";
+        m_result += m_depth <= MaximumDepth ? replacement : std::string_view();
         m_at = end;
     }
 
--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 
 #include <string>
+#include <vector>
 
 using namespace Quetzallift;
 
@@ -169,3 +170,20 @@
     const PlatformReply reply = decode(PlatformVerb::CreateHost, responded(409, object("host", "{}")));
     cr_assert(reply.outcome == PlatformOutcome::NotApplied && reply.version == 5);
 }
+
+// Guards against values that a lenient writer encodes, and that make all entries of a reply unreadable.
+Test(storecodec, entriesThatAreNoValidJsonLeaveTheOthers)
+{
+    for (const std::string &value : std::vector<std::string>{
+             "NaN", "Infinity", "-Infinity", "\"\\ud800\"", "\"\\udc00x\"", "\"\\x41\"", "\"a\tb\"", "\"a\nb\"", "-", "01", "1.", "True", "nul"}) {
+        const std::string odd = R"({"service":"s","address":"10.0.0.1:80","zone":"a","state":"ready","slots":)" + value + "}";
+        const std::string items = object("i-1", Ready) + "," + object("i-2", odd) + "," + object("i-3", Ready);
+        const PlatformReply list = decode(PlatformVerb::ListSearchers, responded(200, R"({"items":[)" + items + R"(],"has-more":false,"as-of":9})"));
+        cr_assert(list.outcome == PlatformOutcome::Applied, "%s: %s", value.c_str(), list.detail.c_str());
+        cr_assert_eq(std::get<SearcherPage>(list.value).entries.size(), 2U, "%s", value.c_str());
+        const std::string events = R"({"deleted":false,"object":)" + object("i-2", odd) + R"(},{"deleted":false,"object":)" + object("i-3", Ready) + "}";
+        const PlatformReply changes = decode(PlatformVerb::WatchSearchers, responded(200, R"({"events":[)" + events + R"(],"as-of":12})"));
+        cr_assert(changes.outcome == PlatformOutcome::Applied, "%s: %s", value.c_str(), changes.detail.c_str());
+        cr_assert_eq(std::get<SearcherPage>(changes.value).entries.size(), 1U, "%s", value.c_str());
+    }
+}
