--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -33,6 +33,15 @@
 {
     return R"({"meta":{"name":")" + name + R"(","revision":5,"deleting":false},"spec":)" + spec + "}";
 }
+
+// The reply to a list that starts after the given name and has more pages.
+PlatformReply decodePageAfter(const std::string &name, const std::string &items)
+{
+    PlatformRequest request;
+    request.verb = PlatformVerb::ListSearchers;
+    request.object = name;
+    return Platform::storeCodec().decode(request, responded(200, R"({"items":[)" + items + R"(],"has-more":true,"as-of":9})"));
+}
 }
 
 // Guards against a reply that was cut at the store's limit and is taken for all changes.
@@ -187,3 +196,33 @@
         cr_assert_eq(std::get<SearcherPage>(changes.value).entries.size(), 1U, "%s", value.c_str());
     }
 }
+
+// Guards against a list that starts again, skips searchers or ends because the last item of a page has no usable name.
+Test(storecodec, pagesLeadToLaterOnes)
+{
+    const std::string before = object("i-5", Ready) + "," + object("i-6", Ready) + ",";
+    for (const std::string &last : {std::string("null"),
+                                    std::string("[]"),
+                                    std::string("{}"),
+                                    std::string(R"({"meta":null,"spec":{}})"),
+                                    std::string(R"({"meta":{"name":7},"spec":{}})"),
+                                    object("", Ready),
+                                    object("a-1", Ready),
+                                    object("i-4", Ready),
+                                    object("i-6\xff", Ready),
+                                    object("i-6\\ud800", Ready),
+                                    object("i-6" + std::string(1000000, 'x'), Ready)}) {
+        const PlatformReply reply = decodePageAfter("i-4", before + last);
+        cr_assert(reply.outcome == PlatformOutcome::Applied, "%.200s", last.c_str());
+        const auto &page = std::get<SearcherPage>(reply.value);
+        cr_assert(page.more && page.lastName == "i-6", "%.200s leads to %.200s", last.c_str(), page.lastName.c_str());
+    }
+}
+
+// Guards against calls without end to read a list that cannot be continued.
+Test(storecodec, pagesWithoutAUsableNameAreFailures)
+{
+    const PlatformReply reply = decodePageAfter("i-4", "null," + object("i-3", Ready));
+    cr_assert(reply.outcome == PlatformOutcome::Unknown);
+    cr_assert(reply.detail.find("i-4") != std::string::npos, "%s", reply.detail.c_str());
+}
