--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -226,3 +226,13 @@
     cr_assert(reply.outcome == PlatformOutcome::Unknown);
     cr_assert(reply.detail.find("i-4") != std::string::npos, "%s", reply.detail.c_str());
 }
+
+// Guards against a list of another type that passes for one without searchers, so that a host drops all it knows.
+Test(storecodec, itemsThatAreNoListAreAFailure)
+{
+    for (const std::string &items : std::vector<std::string>{"null", "{}", "7", "\"\""}) {
+        const HttpResult result = responded(200, R"({"items":)" + items + R"(,"has-more":false,"as-of":9})");
+        cr_assert(decode(PlatformVerb::ListSearchers, result).outcome == PlatformOutcome::Unknown, "%s", items.c_str());
+        cr_assert(decode(PlatformVerb::ReadHosts, result).outcome == PlatformOutcome::Unknown, "%s", items.c_str());
+    }
+}
