--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -236,3 +236,28 @@
         cr_assert(decode(PlatformVerb::ReadHosts, result).outcome == PlatformOutcome::Unknown, "%s", items.c_str());
     }
 }
+
+// Guards against one event that cannot be read and hides the others: the host repeated the watch without end.
+Test(storecodec, oddEventsLeaveTheOthers)
+{
+    for (const std::string &odd : {std::string("null"),
+                                   std::string("7"),
+                                   std::string("[]"),
+                                   std::string("{}"),
+                                   std::string(R"({"deleted":true})"),
+                                   std::string(R"({"deleted":false,"object":null})"),
+                                   std::string(R"({"deleted":false,"object":{"meta":[]}})"),
+                                   R"({"deleted":"yes","object":)" + object("i-2", Ready) + "}"}) {
+        const std::string good = R"({"deleted":false,"object":)" + object("i-3", Ready) + "}";
+        const PlatformReply searchers = decode(PlatformVerb::WatchSearchers, responded(200, R"({"events":[)" + odd + "," + good + R"(],"as-of":12})"));
+        cr_assert(searchers.outcome == PlatformOutcome::Applied, "%s: %s", odd.c_str(), searchers.detail.c_str());
+        const auto &page = std::get<SearcherPage>(searchers.value);
+        cr_assert(page.entries.size() == 1 && page.entries.at(0).entry.id == "i-3", "%s", odd.c_str());
+        cr_assert(searchers.version == 12 && !searchers.unchanged);
+        const std::string main = R"({"deleted":false,"object":)" + object("main", R"({"version":7,"routes":[],"services":[]})") + "}";
+        const PlatformReply configuration = decode(PlatformVerb::WatchConfiguration, responded(200, R"({"events":[)" + odd + "," + main + R"(],"as-of":12})"));
+        cr_assert(configuration.outcome == PlatformOutcome::Applied, "%s: %s", odd.c_str(), configuration.detail.c_str());
+        const auto *routes = std::get_if<RouteTablePtr>(&configuration.value);
+        cr_assert(routes != nullptr && (*routes)->version == 7, "%s", odd.c_str());
+    }
+}
