--- a/src/quetzallift/edge/peercodec.cpp
+++ b/src/quetzallift/edge/peercodec.cpp
@@ -5,6 +5,7 @@
 #include "quetzallift/edge/platformcodec.h"
 #include "quetzallift/edge/sharescodec.h"
 #include "quetzallift/model/error.h"
+#include "quetzallift/model/namelimits.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,7 +15,6 @@
 {
 using nlohmann::json;
 
-constexpr std::size_t MaximumNameLength = 256;
 constexpr std::uint64_t MaximumBuckets = 4096;
 // Limit of the ages and durations in a message. A host that was disconnected for a year is regarded as faulty.
 constexpr Duration MaximumReportedDuration = std::chrono::hours(24 * 365);
--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -261,3 +261,43 @@
         cr_assert(routes != nullptr && (*routes)->version == 7, "%s", odd.c_str());
     }
 }
+
+// Guards against a searcher without a name, and against a name that would add headers to the requests to a searcher.
+Test(storecodec, idsThatDoNotFitAHeaderNameNoSearcher)
+{
+    for (const std::string &name : {std::string(),
+                                    std::string("i-1\\r\\nX-Odd: 1"),
+                                    std::string("i-1\\u0000"),
+                                    std::string("\\u007f"),
+                                    std::string(" i-1"),
+                                    std::string("i-1 "),
+                                    std::string("\xc3\xa9")}) {
+        const std::string items = object(name, Ready) + "," + object("i-3", Ready);
+        const PlatformReply list = decode(PlatformVerb::ListSearchers, responded(200, R"({"items":[)" + items + R"(],"has-more":false,"as-of":9})"));
+        cr_assert(list.outcome == PlatformOutcome::Applied);
+        const auto &page = std::get<SearcherPage>(list.value);
+        cr_assert(page.entries.size() == 1 && page.entries.at(0).entry.id == "i-3", "%s", name.c_str());
+        cr_assert_eq(page.unusable.size(), 1U);
+    }
+}
+
+// Guards against log lines of a megabyte for an entry with a long name.
+Test(storecodec, errorsOfEntriesAreShort)
+{
+    const std::string items = object(std::string(1000000, 'x'), R"({"service":7})");
+    const PlatformReply list = decode(PlatformVerb::ListSearchers, responded(200, R"({"items":[)" + items + R"(],"has-more":false,"as-of":9})"));
+    const auto &page = std::get<SearcherPage>(list.value);
+    cr_assert_eq(page.unusable.size(), 1U);
+    cr_assert_lt(page.unusable.at(0).size(), 1000U);
+}
+
+// Guards against names that no searcher can have in the messages for other hosts, which are limited in size.
+Test(storecodec, removalsThatConcernNoSearcherAreNotPassedOn)
+{
+    const std::string longName(1000000, 'x');
+    const std::string events = R"({"deleted":true,"object":)" + object(longName, "null") + R"(},{"deleted":false,"object":)" + object("odd\\n", "null")
+                               + R"(},{"deleted":true,"object":)" + object("i-1", "null") + "}";
+    const PlatformReply changes = decode(PlatformVerb::WatchSearchers, responded(200, R"({"events":[)" + events + R"(],"as-of":12})"));
+    cr_assert(changes.outcome == PlatformOutcome::Applied);
+    cr_assert(std::get<SearcherPage>(changes.value).removed == std::vector<std::string>{"i-1"});
+}
