--- a/src/quetzallift/edge/peercodec.cpp
+++ b/src/quetzallift/edge/peercodec.cpp
@@ -284,13 +284,12 @@
 
     SearcherEntry searcherEntry(JsonFields &item)
     {
-        constexpr std::uint64_t MaximumSlots = 100000;
         SearcherEntry entry;
         entry.id = item.text("id", MaximumNameLength);
         entry.service = item.text("service", MaximumNameLength);
         entry.address = item.text("address", MaximumNameLength);
         entry.dataCentre = item.text("data_centre", std::string(), MaximumNameLength);
-        entry.slots = static_cast<unsigned>(item.integer("slots", 1, MaximumSlots));
+        entry.slots = static_cast<unsigned>(item.integer("slots", 1, MaximumSearcherSlots));
         entry.draining = item.flag("draining", false);
         entry.startedAtMs = item.integer("born_at", 0, UINT64_MAX);
         return entry;
--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/routesdecoder.h"
 #include "platform/storecodec.h"
+#include "quetzallift/edge/peercodec.h"
 #include "quetzallift/model/error.h"
 
 #include <criterion/criterion.h>
@@ -42,6 +43,25 @@
     request.object = name;
     return Platform::storeCodec().decode(request, responded(200, R"({"items":[)" + items + R"(],"has-more":true,"as-of":9})"));
 }
+
+// The searchers that other hosts read from the changes and tables that a host sends them; throws Error if they cannot read one.
+std::size_t readByPeers(const SearcherPage &page)
+{
+    PeerMessage message;
+    message.sender.self = {"peer", {1, 0}, MemberStatus::Live, false, "10.0.0.3:80", "10.0.0.3:81", "a", {}};
+    TablesUpdate update;
+    update.changes = page;
+    message.body = update;
+    const PeerMessage changes = decodePeerMessage(encodePeerMessage(message), "peer");
+    TablesReply reply;
+    for (const ReportedSearcher &reported : page.entries) {
+        reply.searchers.push_back(reported.entry);
+    }
+    message.body = reply;
+    const PeerMessage tables = decodePeerMessage(encodePeerMessage(message), "peer");
+    cr_assert_eq(std::get<TablesReply>(tables.body).searchers.size(), page.entries.size());
+    return std::get<TablesUpdate>(changes.body).changes.entries.size();
+}
 }
 
 // Guards against a reply that was cut at the store's limit and is taken for all changes.
@@ -301,3 +321,33 @@
     cr_assert(changes.outcome == PlatformOutcome::Applied);
     cr_assert(std::get<SearcherPage>(changes.value).removed == std::vector<std::string>{"i-1"});
 }
+
+// Guards against one entry for which other hosts cannot read the searchers that this host passes on.
+Test(storecodec, acceptedEntriesCanBePassedOn)
+{
+    const auto entry = [](const std::string &name, const std::string &service, const std::string &zone, const std::string &slots) {
+        return object(name, R"({"service":")" + service + R"(","address":"10.0.0.1:80","zone":")" + zone + R"(","state":"ready","slots":)" + slots + "}");
+    };
+    const std::string longText(300, 'x');
+    for (const std::string &odd :
+         {entry("i-2", "s", "a", "100000"),
+          entry("i-2", "s", "a", "100001"),
+          entry("i-2", "s", "a", "1000000"),
+          entry("i-2", "s", longText, "2"),
+          entry("i-2", longText, "a", "2"),
+          entry(longText, "s", "a", "2"),
+          entry(std::string(256, 'x'), "s", "a", "2"),
+          entry("", "s", "a", "2"),
+          object("i-2", R"({"service":"s","zone":"a","state":"ready","slots":2,"address":"10.0.0.1:)" + std::string(300, '0') + R"(80"})")}) {
+        const std::string items = object("i-1", Ready) + "," + odd + "," + object("i-3", Ready);
+        const PlatformReply list = decode(PlatformVerb::ListSearchers, responded(200, R"({"items":[)" + items + R"(],"has-more":false,"as-of":9})"));
+        cr_assert(list.outcome == PlatformOutcome::Applied);
+        const auto &page = std::get<SearcherPage>(list.value);
+        cr_assert_geq(page.entries.size(), 2U);
+        try {
+            cr_assert_eq(readByPeers(page), page.entries.size());
+        } catch (const Error &error) {
+            cr_assert_fail("%.200s: %.200s", odd.c_str(), error.what());
+        }
+    }
+}
