--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -351,3 +351,25 @@
         }
     }
 }
+
+// Guards against an entry in the list of hosts that names no host and is passed on: other hosts cannot read messages with it.
+Test(storecodec, oddHostEntriesLeaveTheOthers)
+{
+    const auto host = [](const std::string &name, const std::string &address, const std::string &peerAddress) {
+        return object(name, R"({"address":")" + address + R"(","peer_address":")" + peerAddress + R"(","data_centre":"a"})");
+    };
+    const std::string good = host("h-1", "10.0.0.1:80", "10.0.0.1:81");
+    for (const std::string &odd : {std::string("null"),
+                                   std::string("{}"),
+                                   object("h-2", "null"),
+                                   object("h-2", R"({"address":7})"),
+                                   host("", "10.0.0.1:80", "10.0.0.1:81"),
+                                   host(std::string(300, 'x'), "10.0.0.1:80", "10.0.0.1:81"),
+                                   host("h-2", "somewhere", "10.0.0.1:81"),
+                                   host("h-2", "10.0.0.1:80", "10.0.0.1:0")}) {
+        const PlatformReply reply = decode(PlatformVerb::ReadHosts, responded(200, R"({"items":[)" + odd + "," + good + R"(],"has-more":false,"as-of":9})"));
+        cr_assert(reply.outcome == PlatformOutcome::Applied, "%.200s", odd.c_str());
+        const auto &hosts = std::get<HostListRecord>(reply.value).hosts;
+        cr_assert(hosts.size() == 1 && hosts.at(0).name == "h-1", "%.200s", odd.c_str());
+    }
+}
