--- a/tests/platform/storecodec_test.cpp
+++ b/tests/platform/storecodec_test.cpp
@@ -373,3 +373,19 @@
         cr_assert(hosts.size() == 1 && hosts.at(0).name == "h-1", "%.200s", odd.c_str());
     }
 }
+
+// Guards against a host that cannot replace the entry under its name because another program wrote bytes there that cannot be
+// read.
+Test(storecodec, conflictWithAnUnreadableEntryTellsTheVersion)
+{
+    for (const std::string &spec : {std::string("\"\xff\""), std::string("NaN"), std::string("1e999"), std::string(100000, '[') + std::string(100000, ']')}) {
+        const PlatformReply reply = decode(PlatformVerb::CreateHost, responded(409, object("host", spec)));
+        cr_assert(reply.outcome == PlatformOutcome::NotApplied && reply.version == 5, "%.50s: %s", spec.c_str(), reply.detail.c_str());
+    }
+}
+
+// Guards against a reply that is no answer in the protocol and passes for an empty list.
+Test(storecodec, statusZeroIsAFailure)
+{
+    cr_assert(decode(PlatformVerb::ListSearchers, responded(0, R"({"items":[],"as-of":9})")).outcome == PlatformOutcome::Unknown);
+}
