Count only known searchers as lost

Only removals of searchers that the host knows count now.

discovery/unusableEntriesAreNoOutage (3 searchers, 3 foreign names) failed before.

--- a/src/quetzallift/control/discovery/searchers.cpp
+++ b/src/quetzallift/control/discovery/searchers.cpp
@@ -183,9 +183,12 @@
     if (!page.entries.empty() || !page.removed.empty()) {
         discovery.changedVersion = version;
     }
+    const auto lost = std::count_if(page.removed.begin(), page.removed.end(), [&discovery](const std::string &id) {
+        return discovery.searchers.contains(id);
+    });
     // The removal of more than half of the searchers in one change is treated as an undetected outage, not as a
     // deployment that removes searchers.
-    if (page.removed.size() * 2 > discovery.searchers.size()) {
+    if (static_cast<std::size_t>(lost) * 2 > discovery.searchers.size()) {
         discovery.outageGraceUntil = context.now + OutageGrace;
     }
     for (const std::string &id : page.removed) {
--- a/tests/control/discovery_test.cpp
+++ b/tests/control/discovery_test.cpp
@@ -143,3 +143,15 @@
     fixture.answer(PlatformVerb::UpdateHost, PlatformOutcome::Applied, 6);
     cr_assert_eq(fixture.state.control.discovery.hostEntryVersion, 6U);
 }
+
+// Guards against entries of other programs that pass for removed searchers: with several of them in one reply, a searcher that
+// had left was kept for the grace period of an outage.
+Test(discovery, unusableEntriesAreNoOutage)
+{
+    DiscoveryFixture fixture;
+    fixture.answerInitialReads({"x", "y", "z"});
+    SearcherPage changes;
+    changes.removed = {"odd-1", "odd-2", "odd-3", "x"};
+    fixture.answer(PlatformVerb::WatchSearchers, PlatformOutcome::Applied, 6, changes);
+    cr_assert(!fixture.hasSearcher("x") && fixture.hasSearcher("y") && fixture.hasSearcher("z"));
+}
