Reject answers whose status HTTP does not have

A searcher's answer with status 000 kept the caller waiting until the time limit, and got 504, although the host had read the head at once: every status below 200 passed for an interim response, after which the host waited for another one on the connection, and would have taken that for the answer. It was not passed on itself. Statuses from 600 to 999 were passed on with the searcher's signature, and 101, which no request asks for, left the bytes behind it unread.

A status outside of 100 to 599, and 101, now ends the response as invalid, as other bytes that are no HTTP do: the attempt fails at once and is repeated or answered with 502. Failures in the reader's own callbacks now say why.

--- a/src/quetzallift/edge/responsereader.cpp
+++ b/src/quetzallift/edge/responsereader.cpp
@@ -11,7 +11,11 @@
 {
 // A part of an answer is a few kilobytes; only a faulty peer sends a larger body.
 constexpr std::size_t MaximumBodySize = std::size_t{8} * 1024 * 1024;
+constexpr unsigned FirstStatus = 100;
+// The peer leaves HTTP after this response, which no request asks for.
+constexpr unsigned StatusSwitchingProtocols = 101;
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
 // Interim responses beyond this number come from a faulty peer, which may send them without end.
 constexpr unsigned MaximumInterimResponses = 8;
 
@@ -19,6 +23,11 @@
 {
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
+
+bool isStatus(unsigned status)
+{
+    return status >= FirstStatus && status <= LastStatus && status != StatusSwitchingProtocols;
+}
 }
 
 std::string_view UpstreamResponse::header(std::string_view name) const
@@ -45,6 +54,7 @@
     m_persistent = false;
     m_surplus = false;
     m_interimResponses = 0;
+    m_problem = nullptr;
 }
 
 ResponseReader::State ResponseReader::state()
@@ -109,7 +119,13 @@
 
 const char *ResponseReader::errorDescription() const
 {
-    return http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
+    return m_problem != nullptr ? m_problem : http_errno_description(HTTP_PARSER_ERRNO(&m_parser));
+}
+
+int ResponseReader::fail(const char *problem)
+{
+    m_problem = problem;
+    return -1;
 }
 
 UpstreamResponse ResponseReader::release()
@@ -140,7 +156,10 @@
 
 int ResponseReader::onHeadersComplete(http_parser *parser)
 {
-    const auto &self = *static_cast<ResponseReader *>(parser->data);
+    auto &self = *static_cast<ResponseReader *>(parser->data);
+    if (!isStatus(parser->status_code)) {
+        return self.fail("the status is not one of HTTP");
+    }
     constexpr int SkipBody = 1;
     return self.m_expectsBody ? 0 : SkipBody;
 }
@@ -149,7 +168,7 @@
 {
     auto &self = *static_cast<ResponseReader *>(parser->data);
     if (self.m_response.body.size() + size > MaximumBodySize) {
-        return 1;
+        return self.fail("the body is too large");
     }
     self.m_response.body.append(data, size);
     return 0;
@@ -162,7 +181,7 @@
         // An interim response; the final one follows.
         self.m_response = {};
         self.m_hasHeaderValue = false;
-        return ++self.m_interimResponses > MaximumInterimResponses ? 1 : 0;
+        return ++self.m_interimResponses > MaximumInterimResponses ? self.fail("too many interim responses") : 0;
     }
     self.m_complete = true;
     self.m_persistent = http_should_keep_alive(parser) != 0;
--- a/src/quetzallift/edge/responsereader.h
+++ b/src/quetzallift/edge/responsereader.h
@@ -29,7 +29,7 @@
     enum class State {
         Reading,
         Complete,
-        // The bytes are not an HTTP response, or its body is too large.
+        // The bytes are not an HTTP response, its status is not one of HTTP, or its body is too large.
         Invalid,
     };
 
@@ -53,8 +53,7 @@
     // The peer's timeout for idle connections, if the Keep-Alive header gives it.
     std::optional<Duration> keepAliveTimeout() const;
 
-    // The description of the error by http_parser, if the state is Invalid. For a body that is too large it only says that
-    // the on_body callback failed.
+    // Why the state is Invalid.
     const char *errorDescription() const;
 
     // Moves the response out; only valid once it is complete.
@@ -68,6 +67,9 @@
     static int onMessageComplete(http_parser *parser);
     State state();
 
+    // Ends the response as Invalid; to be returned by a callback.
+    int fail(const char *problem);
+
     http_parser m_parser{};
     UpstreamResponse m_response;
     bool m_expectsBody = true;
@@ -76,5 +78,7 @@
     bool m_persistent = false;
     bool m_surplus = false;
     unsigned m_interimResponses = 0;
+    // Why a callback ended the response; null if none did.
+    const char *m_problem = nullptr;
 };
 }
--- a/tests/edge/responsereader_test.cpp
+++ b/tests/edge/responsereader_test.cpp
@@ -11,6 +11,25 @@
 namespace
 {
 constexpr const char *Whole = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nKeep-Alive: timeout=4\r\n\r\nabc";
+
+// The state after the bytes, which arrive in two pieces, and after the end of the stream.
+ResponseReader::State stateAfter(const std::string &bytes, std::size_t division)
+{
+    ResponseReader reader;
+    const ResponseReader::State first = reader.consume(bytes.substr(0, division));
+    if (first != ResponseReader::State::Reading) {
+        return first;
+    }
+    const ResponseReader::State second = division < bytes.size() ? reader.consume(bytes.substr(division)) : first;
+    return second == ResponseReader::State::Reading ? reader.consumeEnd() : second;
+}
+
+void assertInvalid(const std::string &bytes)
+{
+    for (std::size_t division = 1; division <= bytes.size(); ++division) {
+        cr_assert(stateAfter(bytes, division) == ResponseReader::State::Invalid, "divided at %zu: %s", division, bytes.c_str());
+    }
+}
 }
 
 // Guards against a response that is treated as complete before its last byte.
@@ -89,3 +108,19 @@
         cr_assert(state == ResponseReader::State::Invalid, "%.30s, then %.30s", head.c_str(), repeated.c_str());
     }
 }
+
+// Guards against a status that HTTP does not have and that reaches the client, or that hides the bytes after it.
+Test(responsereader, statusesOutsideOfHttpAreInvalid)
+{
+    for (const char *status : {"000", "0", "00", "001", "020", "099", "99", "101", "600", "999", "1000", "-200", "2 0", "2x0", ""}) {
+        const std::string head = std::string("HTTP/1.1 ") + status + " Odd\r\n";
+        assertInvalid(head + "Content-Length: 3\r\n\r\nabc");
+        assertInvalid(head + "\r\n" + Whole);
+        assertInvalid(head + "Upgrade: x\r\nConnection: Upgrade\r\n\r\n" + Whole);
+    }
+    for (const char *status : {"200", "204", "304", "404", "500", "503", "599"}) {
+        ResponseReader reader;
+        cr_assert(reader.consume(std::string("HTTP/1.1 ") + status + " Fine\r\nContent-Length: 0\r\n\r\n") == ResponseReader::State::Complete, "%s", status);
+        cr_assert_eq(reader.release().status, static_cast<unsigned>(std::stoul(status)));
+    }
+}
