Reject answers with field names that are no tokens

A searcher's answer whose head had a field name with a blank reached the client as a success, with that line as it was. A blank before the colon of Content-Length or Transfer-Encoding framed the body by a line that the client does not take for one, or the other way round. Cause: http_parser, as Debian builds it, accepts blanks in field names and at their beginning.

The names of all fields of a head, of interim heads and of trailers must now be tokens (RFC 9110, section 5.6.2); the response is invalid otherwise, before any of its body is read. Control bytes in names and values were rejected by http_parser already; the tests keep that.

malformedanswer/invalidFieldNamesAreAFailure failed before: the client got "X Odd: 1" in an answer with status 200. responsereader/ invalidFieldNamesAreInvalid (every byte that is no token, 4 places, each division into two pieces) failed before; responsereader/ controlBytesInFieldValuesAreInvalid passed before.

--- a/src/quetzallift/edge/responsereader.cpp
+++ b/src/quetzallift/edge/responsereader.cpp
@@ -28,6 +28,23 @@
 {
     return status >= FirstStatus && status <= LastStatus && status != StatusSwitchingProtocols;
 }
+
+// True if a text is a token (RFC 9110, section 5.6.2). http_parser accepts blanks in the names of fields.
+bool isToken(const std::string &text)
+{
+    constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [Symbols](char c) {
+        const bool isAlphanumeric = (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z');
+        return isAlphanumeric || Symbols.find(c) != std::string_view::npos;
+    });
+}
+
+bool haveValidNames(const std::vector<Header> &headers)
+{
+    return std::all_of(headers.begin(), headers.end(), [](const Header &header) {
+        return isToken(header.name);
+    });
+}
 }
 
 std::string_view UpstreamResponse::header(std::string_view name) const
@@ -160,6 +177,9 @@
     if (!isStatus(parser->status_code)) {
         return self.fail("the status is not one of HTTP");
     }
+    if (!haveValidNames(self.m_response.headers)) {
+        return self.fail("the name of a header field is not a token");
+    }
     constexpr int SkipBody = 1;
     return self.m_expectsBody ? 0 : SkipBody;
 }
@@ -183,6 +203,9 @@
         self.m_hasHeaderValue = false;
         return ++self.m_interimResponses > MaximumInterimResponses ? self.fail("too many interim responses") : 0;
     }
+    if (!haveValidNames(self.m_response.headers)) {
+        return self.fail("the name of a trailer field is not a token");
+    }
     self.m_complete = true;
     self.m_persistent = http_should_keep_alive(parser) != 0;
     self.m_response.status = parser->status_code;
--- a/src/quetzallift/edge/responsereader.h
+++ b/src/quetzallift/edge/responsereader.h
@@ -29,7 +29,7 @@
     enum class State {
         Reading,
         Complete,
-        // The bytes are not an HTTP response, its status is not one of HTTP, or its body is too large.
+        // The bytes are not an HTTP response, its status or the name of a field is not one of HTTP, or its body is too large.
         Invalid,
     };
 
--- a/tests/edge/responsereader_test.cpp
+++ b/tests/edge/responsereader_test.cpp
@@ -30,6 +30,21 @@
         cr_assert(stateAfter(bytes, division) == ResponseReader::State::Invalid, "divided at %zu: %s", division, bytes.c_str());
     }
 }
+
+// Field lines whose names are no tokens (RFC 9110, section 5.6.2).
+std::vector<std::string> linesWithInvalidNames()
+{
+    std::vector<std::string> lines = {
+        " X-Odd: 1", "\tX-Odd: 1", "X-Odd : 1", "Content-Length : 1", "Content-Length x: 1", "Transfer-Encoding : chunked", ": 1", "X-Odd"};
+    for (int byte = 0; byte < 256; ++byte) {
+        const auto c = static_cast<char>(byte);
+        const bool isToken = byte > ' ' && byte < 127 && std::string("()<>@,;:\\\"/[]?={}").find(c) == std::string::npos;
+        if (!isToken && c != ':' && c != '\r' && c != '\n') {
+            lines.push_back("X" + std::string(1, c) + "Odd: 1");
+        }
+    }
+    return lines;
+}
 }
 
 // Guards against a response that is treated as complete before its last byte.
@@ -124,3 +139,25 @@
         cr_assert_eq(reader.release().status, static_cast<unsigned>(std::stoul(status)));
     }
 }
+
+// Guards against a head with a field name that is no token: it reached the client as it was, or framed the body in a way that
+// the client does not share.
+Test(responsereader, invalidFieldNamesAreInvalid)
+{
+    for (const std::string &line : linesWithInvalidNames()) {
+        assertInvalid("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + line + "\r\n\r\nabc");
+        assertInvalid("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 3\r\n\r\nabc");
+        assertInvalid("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + Whole);
+        assertInvalid("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" + line + "\r\n\r\n");
+    }
+}
+
+// Guards against control bytes in a field value, which could end the line at the next recipient.
+Test(responsereader, controlBytesInFieldValuesAreInvalid)
+{
+    for (int byte = 0; byte < 128; ++byte) {
+        if ((byte < ' ' || byte == 127) && byte != '\t' && byte != '\r' && byte != '\n') {
+            assertInvalid("HTTP/1.1 200 OK\r\nX-Odd: a" + std::string(1, static_cast<char>(byte)) + "b\r\nContent-Length: 3\r\n\r\nabc");
+        }
+    }
+}
--- a/tests/platform/malformedanswer_test.cpp
+++ b/tests/platform/malformedanswer_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/platform/trafficfixture.h"
 
 #include <array>
+#include <vector>
 
 using namespace Quetzallift;
 
@@ -50,3 +51,16 @@
         port += 5;
     }
 }
+
+// Guards against an answer whose head has a field name with a blank or a control byte: the line is passed on to the client.
+Test(malformedanswer, invalidFieldNamesAreAFailure, .timeout = 60)
+{
+    unsigned port = 19961;
+    for (const std::string &line : std::vector<std::string>{"X Odd: 1", "X-Odd : 1", " X-Odd: 1", "X\x01Odd: 1", "X\x7fOdd: 1", "Content-Length : 1"}) {
+        const std::string answer = answerToClient(port, "HTTP/1.1 200 OK\r\n" + line + "\r\n" + Fields + "\r\nabc");
+        cr_assert(answer.starts_with("HTTP/1.1 502 "), "%s", answer.c_str());
+        port += 5;
+    }
+    const std::string proper = answerToClient(port, "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n" + Fields + "\r\nabc");
+    cr_assert(proper.starts_with("HTTP/1.1 200 "), "%s", proper.c_str());
+}
