Keep trailers apart from the head of an answer

Fields after a chunked body were appended to those of the head. A signature, a statement that the request has not run, or a length that came behind the body would have counted as the head's, and reached the client there. Trailer fields may only be merged if their definition allows it (RFC 9110, section 6.5.1), and none that is used here does.

Trailers are now checked and dropped. Read from the code while looking for other readers of answers; responsereader/trailersAreNoHeaders (1 response) failed before.

--- a/src/quetzallift/edge/responsereader.cpp
+++ b/src/quetzallift/edge/responsereader.cpp
@@ -180,6 +180,7 @@
     if (!haveValidNames(self.m_response.headers)) {
         return self.fail("the name of a header field is not a token");
     }
+    self.m_headFields = self.m_response.headers.size();
     constexpr int SkipBody = 1;
     return self.m_expectsBody ? 0 : SkipBody;
 }
@@ -206,6 +207,7 @@
     if (!haveValidNames(self.m_response.headers)) {
         return self.fail("the name of a trailer field is not a token");
     }
+    self.m_response.headers.resize(self.m_headFields);
     self.m_complete = true;
     self.m_persistent = http_should_keep_alive(parser) != 0;
     self.m_response.status = parser->status_code;
--- a/src/quetzallift/edge/responsereader.h
+++ b/src/quetzallift/edge/responsereader.h
@@ -5,6 +5,7 @@
 
 #include <http_parser.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -72,6 +73,8 @@
 
     http_parser m_parser{};
     UpstreamResponse m_response;
+    // The number of fields in the head; those after it are trailers.
+    std::size_t m_headFields = 0;
     bool m_expectsBody = true;
     bool m_hasHeaderValue = false;
     bool m_complete = false;
--- a/tests/edge/responsereader_test.cpp
+++ b/tests/edge/responsereader_test.cpp
@@ -161,3 +161,14 @@
         }
     }
 }
+
+// Guards against fields after a chunked body that are taken for fields of the head, such as a signature that the head lacks.
+Test(responsereader, trailersAreNoHeaders)
+{
+    ResponseReader reader;
+    const std::string bytes = "HTTP/1.1 200 OK\r\nX-Head: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Trailer: 2\r\n\r\n";
+    cr_assert(reader.consume(bytes) == ResponseReader::State::Complete);
+    const UpstreamResponse response = reader.release();
+    cr_assert(response.body == "abc" && response.header("X-Head") == "1");
+    cr_assert(response.header("X-Trailer").empty());
+}
