Read no body after an interim head

An interim response with a Content-Length took as many bytes of the response behind it for its own body, so that the searcher's answer was misread. Interim responses have no body (RFC 9112, section 6.3); the reader now skips it.

Read from the code while looking for other readers of answers; responsereader/interimResponsesHaveNoBody (1 response) failed before.

--- a/src/quetzallift/edge/responsereader.cpp
+++ b/src/quetzallift/edge/responsereader.cpp
@@ -182,7 +182,8 @@
     }
     self.m_headFields = self.m_response.headers.size();
     constexpr int SkipBody = 1;
-    return self.m_expectsBody ? 0 : SkipBody;
+    const bool isInterim = parser->status_code < FirstFinalStatus;
+    return self.m_expectsBody && !isInterim ? 0 : SkipBody;
 }
 
 int ResponseReader::onBody(http_parser *parser, const char *data, std::size_t size)
--- a/tests/edge/responsereader_test.cpp
+++ b/tests/edge/responsereader_test.cpp
@@ -172,3 +172,12 @@
     cr_assert(response.body == "abc" && response.header("X-Head") == "1");
     cr_assert(response.header("X-Trailer").empty());
 }
+
+// Guards against bytes after an interim head that are dropped as its body, so that the response behind them is misread.
+Test(responsereader, interimResponsesHaveNoBody)
+{
+    ResponseReader reader;
+    cr_assert(reader.consume(std::string("HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n") + Whole) == ResponseReader::State::Complete);
+    const UpstreamResponse response = reader.release();
+    cr_assert(response.status == 200 && response.body == "abc");
+}
