--- a/tests/platform/malformedanswer_test.cpp
+++ b/tests/platform/malformedanswer_test.cpp
@@ -9,6 +9,13 @@
 {
 constexpr Duration RouteTimeout = std::chrono::seconds(10);
 
+// Bounds each call that waits on the socket, beyond the time limit of the request.
+void limitWaits(int socket)
+{
+    const timeval limit{20, 0};
+    cr_assert_eq(setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit)), 0);
+}
+
 std::string receiveUntil(int connection, const std::string &end)
 {
     std::string received;
@@ -29,7 +36,11 @@
     TrafficHost host(port, RouteTimeout);
     host.thread->start();
     const int client = host.sendToHost("GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nDeadline-Ms: 9000\r\nConnection: close\r\n\r\n");
+    limitWaits(client);
+    limitWaits(host.listening);
     const int searcher = accept(host.listening, nullptr, nullptr);
+    cr_assert_geq(searcher, 0);
+    limitWaits(searcher);
     receiveUntil(searcher, "\r\n\r\n");
     ::send(searcher, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     const std::string answer = receiveUntil(client, "\r\n\r\n");
@@ -42,7 +53,7 @@
 }
 
 // Guards against an answer with a status that HTTP does not have: it is passed on, or the request waits until its time is over.
-Test(malformedanswer, statusZeroIsAFailureAtOnce, .timeout = 60)
+Test(malformedanswer, statusZeroIsAFailureAtOnce)
 {
     unsigned port = 19951;
     for (const std::string &bytes : {"HTTP/1.1 000 Odd\r\n" + Fields + "\r\nabc", "HTTP/1.1 000 Odd\r\n\r\nHTTP/1.1 200 OK\r\n" + Fields + "\r\nabc"}) {
@@ -53,7 +64,7 @@
 }
 
 // Guards against an answer whose head has a field name with a blank or a control byte: the line is passed on to the client.
-Test(malformedanswer, invalidFieldNamesAreAFailure, .timeout = 60)
+Test(malformedanswer, invalidFieldNamesAreAFailure)
 {
     unsigned port = 19961;
     for (const std::string &line : std::vector<std::string>{"X Odd: 1", "X-Odd : 1", " X-Odd: 1", "X\x01Odd: 1", "X\x7fOdd: 1", "Content-Length : 1"}) {
--- a/tests/platform/storelist_test.cpp
+++ b/tests/platform/storelist_test.cpp
@@ -16,6 +16,8 @@
 {
 // A multiple of the store's page size, so that each of the first names of a page ends a page in one of the tests.
 constexpr unsigned Searchers = 30;
+// Only bounds the test.
+constexpr Duration CallTimeout = std::chrono::seconds(20);
 
 json searcherSpec()
 {
@@ -41,8 +43,9 @@
         }
     }
 
-    PlatformReply call(const PlatformRequest &request)
+    PlatformReply call(PlatformRequest request)
     {
+        request.timeout = CallTimeout;
         const PlatformCodec codec = Platform::storeCodec();
         PlatformReply reply;
         client.send(codec.encode(address, request), [&](const HttpResult &result) {
@@ -89,7 +92,7 @@
 
 // Guards against a list of searchers that cannot be continued after an entry whose name has characters with a meaning in URLs:
 // the host repeated a page without end, skipped entries, or could not send the call, and served no request after a restart.
-Test(storelist, namesOfEntriesDoNotStopTheList, .timeout = 120)
+Test(storelist, namesOfEntriesDoNotStopTheList)
 {
     ListedStore store("127.0.0.1:19941");
     for (int byte = 1; byte < 128; ++byte) {
@@ -109,7 +112,7 @@
 }
 
 // Guards against an entry of this host that is written, replaced or deleted under another name than its own.
-Test(storelist, namesOfHostsReachTheStoreUnchanged, .timeout = 30)
+Test(storelist, namesOfHostsReachTheStoreUnchanged)
 {
     ListedStore store("127.0.0.1:19943");
     for (const std::string &name : std::vector<std::string>{"a b", "a/b", "a?b=c", "a#b", "a%41", "a+b", "a&b", "..", "\xc3\xa9"}) {
