--- a/tests/platform/soak/hostprocess.cpp
+++ b/tests/platform/soak/hostprocess.cpp
@@ -104,6 +104,11 @@
     return m_running;
 }
 
+pid_t HostProcess::pid() const
+{
+    return m_process.getpid();
+}
+
 unsigned HostProcess::incarnation() const
 {
     return m_incarnation;
--- a/tests/platform/soak/hostprocess.h
+++ b/tests/platform/soak/hostprocess.h
@@ -33,6 +33,7 @@
 
     void start();
     bool running() const;
+    pid_t pid() const;
     // Counts the starts.
     unsigned incarnation() const;
 
