Remove closed connections from the reactor

Callers could see a host end, or a request that is never read: a server connection from which nothing is read, since its client sent much behind a request, is registered with ACE's reactor for no event. ACE does not remove such a handler (remove_handler() returns -1, and the next owner of the descriptor is served by the old handler: a trial program of a few lines shows both). So the closed connection stayed in the reactor and was used after it was freed, at the end of the process at the latest. The same holds for a listening socket that is closed while no connection is accepted.

Now the handler is removed as soon as it waits for no event, and registered again with the next one.

httpserver/closedConnectionsLeaveTheReactor failed before (descriptor 17 still had a handler) and passes. Two tests of crowds whose clients reset their connections, or close their side early, pass before and after.

--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -153,10 +153,11 @@
 
     void pauseAccepting()
     {
-        m_loop.reactor().mask_ops(this, ACE_Event_Handler::READ_MASK, ACE_Reactor::CLR_MASK);
+        // A handler that is registered for no event cannot be removed.
+        m_loop.reactor().remove_handler(this, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
         m_loop.callAt(Clock::now() + AcceptPause, [this, alive = m_alive] {
             if (*alive && m_listening != ACE_INVALID_HANDLE) {
-                m_loop.reactor().mask_ops(this, ACE_Event_Handler::READ_MASK, ACE_Reactor::ADD_MASK);
+                m_loop.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
             }
         });
     }
--- a/src/quetzallift/edge/serverconnection.cpp
+++ b/src/quetzallift/edge/serverconnection.cpp
@@ -282,8 +282,17 @@
 
 void ServerConnection::watch(ACE_Reactor_Mask event, bool &watched, bool wanted)
 {
-    if (watched != wanted) {
-        watched = wanted;
+    if (watched == wanted) {
+        return;
+    }
+    const bool wasRegistered = m_inputWatched || m_outputWatched;
+    watched = wanted;
+    if (!m_inputWatched && !m_outputWatched) {
+        // ACE's reactor does not remove a handler that is registered for no event, and calls it for the socket's next owner.
+        m_loop.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    } else if (!wasRegistered) {
+        m_loop.reactor().register_handler(this, event);
+    } else {
         m_loop.reactor().mask_ops(this, event, wanted ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
     }
 }
--- a/tests/edge/httpserver_test.cpp
+++ b/tests/edge/httpserver_test.cpp
@@ -7,9 +7,15 @@
 
 #include <criterion/criterion.h>
 
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
 using namespace Quetzallift;
 
 namespace
@@ -98,3 +104,34 @@
     close(handle);
     cr_assert_eq(handled, 1U);
 }
+
+// Guards against a connection that stays in the reactor after it was closed, since nothing was read from it while its client sent
+// much behind a request. The reactor then uses an object that is gone: at its own end, or as the descriptor is used again.
+Test(httpserver, closedConnectionsLeaveTheReactor, .timeout = 60)
+{
+    constexpr std::size_t SentAhead = std::size_t{1} * 1024 * 1024;
+    constexpr int Descriptors = 1024;
+    EventLoop loop;
+    std::vector<HttpExchangePtr> unanswered;
+    auto server = std::make_unique<HttpServer>(loop, "127.0.0.1:19885", [&unanswered](const HttpExchangePtr &exchange) {
+        unanswered.push_back(exchange);
+    });
+    std::thread client([&loop] {
+        const sockaddr_in peer = parseAddress("127.0.0.1:19885");
+        const int handle = socket(AF_INET, SOCK_STREAM, 0);
+        cr_assert_eq(connect(handle, reinterpret_cast<const sockaddr *>(&peer), sizeof(peer)), 0);
+        const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(SentAhead, 'a');
+        send(handle, request.data(), request.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        loop.stop();
+        close(handle);
+    });
+    loop.run();
+    client.join();
+    cr_assert_eq(unanswered.size(), 1U);
+    server.reset();
+    for (int handle = 0; handle < Descriptors; ++handle) {
+        const bool isOpen = fcntl(handle, F_GETFD) >= 0;
+        cr_assert(isOpen || loop.reactor().find_handler(handle) == nullptr, "descriptor %d", handle);
+    }
+}
--- a/tests/platform/crowd/crowd.cpp
+++ b/tests/platform/crowd/crowd.cpp
@@ -20,14 +20,15 @@
 constexpr std::chrono::milliseconds StallTimeout = std::chrono::seconds(2);
 constexpr std::chrono::milliseconds ConnectTimeout = std::chrono::seconds(2);
 
+constexpr int ClientWindow = 4096;
+
 // Opens a connection that never blocks. Returns -1 if it is not established in time.
 int openConnection(const std::string &address)
 {
     const sockaddr_in peer = parseAddress(address);
     const int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     // Clients that read nothing offer a small window.
-    const int window = 4096;
-    setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+    setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &ClientWindow, sizeof(ClientWindow));
     connect(handle, reinterpret_cast<const sockaddr *>(&peer), sizeof(peer));
     pollfd event{handle, POLLOUT, 0};
     if (poll(&event, 1, static_cast<int>(ConnectTimeout.count())) != 1 || (event.revents & (POLLERR | POLLHUP)) != 0) {
@@ -55,9 +56,28 @@
     }
 }
 
-std::size_t Connections::size() const
+void Connections::finish()
+{
+    std::vector<char> buffer(65536);
+    for (Client &client : m_clients) {
+        shutdown(client.socket, SHUT_WR);
+    }
+    for (Client &client : m_clients) {
+        pollfd event{client.socket, POLLIN, 0};
+        while (poll(&event, 1, static_cast<int>(StallTimeout.count())) == 1 && recv(client.socket, buffer.data(), buffer.size(), 0) > 0) { }
+        close(client);
+    }
+}
+
+void Connections::reset()
 {
-    return m_clients.size();
+    const linger discard{1, 0};
+    for (Client &client : m_clients) {
+        if (client.socket >= 0) {
+            setsockopt(client.socket, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+            close(client);
+        }
+    }
 }
 
 void Connections::send(const Content &content, std::size_t pieceSize)
--- a/tests/platform/crowd/crowd.h
+++ b/tests/platform/crowd/crowd.h
@@ -28,7 +28,11 @@
     // Sends the same bytes on each connection again and again until each has taken the given number of bytes.
     void repeat(const std::string &bytes, std::size_t total);
 
-    std::size_t size() const;
+    // Closes the sending side of all connections, and reads them to their ends.
+    void finish();
+
+    // Resets all connections.
+    void reset();
 
 private:
     struct Client {
--- a/tests/platform/crowd/served_test.cpp
+++ b/tests/platform/crowd/served_test.cpp
@@ -64,3 +64,43 @@
     }
     entry.checkLargestRequest();
 }
+
+// Guards against a process that ends as a client resets its connection after it has sent much behind a request that waits.
+Test(served, resetsBehindRequestsThatWait)
+{
+    constexpr std::size_t Clients = 16;
+    EntryFixture entry;
+    {
+        Connections crowd(entry.clientAddress(), Clients);
+        crowd.send(
+            [](std::size_t) {
+                return requestHead("/stuck/x", "Content-Length: 0\r\n") + std::string(BodyLimit, 'p');
+            },
+            BodyLimit);
+        entry.settle();
+        crowd.reset();
+        entry.checkHealthy();
+    }
+    entry.checkLargestRequest();
+}
+
+// Guards against a process that ends, or takes a new connection for an old one, after clients have closed their side while a
+// large answer was being sent.
+Test(served, clientsThatCloseTheirSideEarly)
+{
+    constexpr std::size_t Clients = 2;
+    constexpr std::size_t Rounds = 4;
+    EntryFixture entry;
+    for (std::size_t round = 0; round < Rounds; ++round) {
+        Connections crowd(entry.clientAddress(), Clients);
+        crowd.send(
+            [](std::size_t) {
+                return requestHead("/large/x", "Content-Length: 0\r\n");
+            },
+            BodyLimit);
+        entry.settle();
+        crowd.finish();
+        entry.checkHealthy();
+    }
+    entry.checkLargestRequest();
+}
