Limit the framing of chunked bodies

A client could make a host keep the line with the size of a chunk, or the trailers, without any end: the parser leaves them unread until they are complete, and nothing bounded them. 64 clients that sent 4 MiB each made the process hold 283,868 KB (an extension) and 283,872 KB (trailers), of 160 MB allowed.

What a chunked body has beside its content now counts against the limit on heads, less 16 bytes a chunk, and is answered 431 beyond it. Chunks of one byte with a short extension stay within this for a body of any size. The unread bytes are also removed once a call instead of once a chunk, since a read of 16 KB in tiny chunks moved them thousands of times.

--- a/src/quetzallift/edge/requestreader.cpp
+++ b/src/quetzallift/edge/requestreader.cpp
@@ -1,10 +1,9 @@
 #include "quetzallift/edge/requestreader.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-
-#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -17,11 +16,13 @@
 constexpr unsigned VersionHttp10 = 10;
 // The last chunk of a body and the empty line after it: what is left of a chunked body is never shorter.
 constexpr std::size_t LastChunkSize = 5;
+// The bytes of framing that a chunk may have without being counted as excess: its size, its line ends and a short extension.
+constexpr std::size_t OrdinaryFraming = 16;
 
 // Some clients send an empty line after the body of their previous request (RFC 9112, section 2.2).
-void skipEmptyLines(std::string &bytes)
+std::size_t sizeOfEmptyLines(const std::string &bytes)
 {
-    bytes.erase(0, std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    return std::min(bytes.find_first_not_of("\r\n"), bytes.size());
 }
 
 std::string toString(boost::beast::string_view text)
@@ -47,24 +48,40 @@
 
 RequestReader::State RequestReader::consume(std::string &bytes)
 {
-    if (!m_parser->got_some()) {
-        skipEmptyLines(bytes);
+    std::size_t offset = m_parser->got_some() ? 0 : sizeOfEmptyLines(bytes);
+    State state = parse(bytes, offset);
+    bytes.erase(0, offset);
+    // The line of a chunk's size and the trailers are left unread until they are complete, and so are the last few bytes.
+    if (state == State::Reading && m_headComplete && m_excessFraming + bytes.size() > m_headLimit + LastChunkSize) {
+        state = State::HeadTooLarge;
     }
-    while (!bytes.empty()) {
-        if (m_headComplete && m_parser->chunked() && bytes.size() < LastChunkSize) {
+    return state;
+}
+
+RequestReader::State RequestReader::parse(const std::string &bytes, std::size_t &offset)
+{
+    while (offset < bytes.size()) {
+        const std::size_t left = bytes.size() - offset;
+        if (m_headComplete && m_parser->chunked() && left < LastChunkSize) {
             // The parser does not expect to be called again with less after it has read the size of the last chunk.
             return State::Reading;
         }
         boost::beast::error_code error;
-        const std::size_t read = m_parser->put(boost::asio::buffer(bytes), error);
-        bytes.erase(0, read);
-        if (!m_headComplete) {
+        const std::size_t bodySize = m_parser->get().body().size();
+        const std::size_t read = m_parser->put(boost::asio::buffer(bytes.data() + offset, left), error);
+        offset += read;
+        if (m_headComplete) {
+            countFraming(read, m_parser->get().body().size() - bodySize);
+        } else {
             m_headSize += read;
-            const std::size_t unread = m_parser->is_header_done() ? 0 : bytes.size();
+            const std::size_t unread = m_parser->is_header_done() ? 0 : bytes.size() - offset;
             if (m_headSize + unread > m_headLimit) {
                 return State::HeadTooLarge;
             }
         }
+        if (m_excessFraming > m_headLimit) {
+            return State::HeadTooLarge;
+        }
         if (error == Http::error::need_more) {
             return State::Reading;
         }
@@ -86,6 +103,14 @@
     return State::Reading;
 }
 
+void RequestReader::countFraming(std::size_t read, std::size_t content)
+{
+    m_excessFraming += read - content;
+    if (content > 0) {
+        m_excessFraming -= std::min(m_excessFraming, OrdinaryFraming);
+    }
+}
+
 // Called before the parser reads trailers, which it would add to the headers.
 void RequestReader::readHead()
 {
--- a/src/quetzallift/edge/requestreader.h
+++ b/src/quetzallift/edge/requestreader.h
@@ -32,7 +32,7 @@
         Complete,
         // The bytes are not an HTTP request.
         Invalid,
-        // The request line and the headers, or the body, exceed the limit.
+        // The request line, the headers and the framing of a chunked body, or the body itself, exceed the limit.
         HeadTooLarge,
         BodyTooLarge,
     };
@@ -57,12 +57,18 @@
 private:
     class Parser;
 
+    // Reads from the bytes at the offset, and moves it.
+    State parse(const std::string &bytes, std::size_t &offset);
+    // Counts bytes of a body that were read, of which some are content.
+    void countFraming(std::size_t read, std::size_t content);
     void readHead();
 
     std::unique_ptr<Parser> m_parser;
     std::size_t m_headLimit;
     // The bytes of the head that were read.
     std::size_t m_headSize = 0;
+    // The bytes of the framing of a chunked body, beyond what chunks of ordinary size need.
+    std::size_t m_excessFraming = 0;
     HttpServerRequest m_request;
     bool m_headComplete = false;
     bool m_expectsContinue = false;
--- a/tests/edge/requestreader_test.cpp
+++ b/tests/edge/requestreader_test.cpp
@@ -115,3 +115,33 @@
     const HttpServerRequest old = readInParts("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", 1000).request;
     cr_assert(old.keepAlive && old.isHttp10);
 }
+
+// Guards against framing of a chunked body that takes memory or processor time without end.
+Test(requestreader, framingOfABodyIsLimited)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string longText(HeadLimit, 'e');
+    std::string manyExtensions;
+    for (std::size_t chunk = 0; chunk < 200; ++chunk) {
+        manyExtensions += "1;name=" + longText.substr(0, 200) + "\r\nb\r\n";
+    }
+    for (const std::string &body : {"5;name=" + longText, "5;name=" + longText + "\r\nabcde\r\n0\r\n\r\n", "0\r\nTrailer: " + longText, manyExtensions}) {
+        cr_assert(stateAfter(head + body) == RequestReader::State::HeadTooLarge);
+        cr_assert(readInParts(head + body, 100).state == RequestReader::State::HeadTooLarge);
+    }
+}
+
+// Guards against a body of legal size that is refused for the framing of its chunks.
+Test(requestreader, tinyChunksAreNotLimitedByTheirFraming)
+{
+    std::string bytes = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t chunk = 0; chunk < BodyLimit; ++chunk) {
+        bytes += "1;name=x\r\nb\r\n";
+    }
+    bytes += "0\r\n\r\n";
+    for (const std::size_t part : {std::size_t{1}, std::size_t{7}, bytes.size()}) {
+        const Reading reading = readInParts(bytes, part);
+        cr_assert(reading.state == RequestReader::State::Complete);
+        cr_assert_eq(reading.request.body.size(), BodyLimit);
+    }
+}
