Keep the limits that the configuration sets for clients

Of the limits of the configuration only the one on heads was kept.

The limits in force now hold for each request and each connection, on all ports of a host with routes, also after they change: 413 beyond body-bytes, 408 for a head that takes longer than header-timeout-ms, for a body that stands still for idle-timeout-ms, and for a request of more than five minutes; idle connections are closed at idle-timeout-ms, and so are clients that read nothing of an answer for as long. What a client sends after its last answer is discarded up to 1 MiB only. Requests that are refused so early are counted by cause, and logged every ten seconds at most.

Since the deadlines of a connection depend on what it waits for, it now has phases, by which the server lists it.

--- a/src/quetzallift/app/metrics.cpp
+++ b/src/quetzallift/app/metrics.cpp
@@ -41,6 +41,8 @@
         {Metric::SearchersDraining, {"quetzallift_searchers_draining_total", "sign", "Searchers that get no new work because they leave"}},
         {Metric::SearchersBack, {"quetzallift_searchers_back_total", "back_end", "Draining searchers that are used again"}},
         {Metric::Refusals, {"quetzallift_refusals_total", "cause", "Queries refused"}},
+        {Metric::ClientRejections,
+         {"quetzallift_client_rejections_total", "cause", "Requests refused before they were complete, and clients' connections closed"}},
         {Metric::BundlesAdopted, {"quetzallift_bundles_adopted_total", "", "Bundles adopted"}},
         {Metric::PeerConnectionFailures, {"quetzallift_peer_connection_failures_total", "", "Peer connections that ended with messages not acknowledged"}},
         {Metric::BundlesRefused, {"quetzallift_bundles_refused_total", "source", "Bundles refused by verification"}},
--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -27,19 +27,27 @@
               handleRequest(exchange);
           },
           clientHooks())
-    , m_directory(m_loop,
-                  settings.routes->directoryAddress,
-                  [this](const HttpExchangePtr &exchange) {
-                      m_protocol.answerDirectory({*exchange, m_loop.state().query.control});
-                  })
-    , m_readiness(m_loop,
-                  settings.routes->readinessAddress,
-                  [this](const HttpExchangePtr &exchange) {
-                      m_protocol.answerReadiness(*exchange, isReady());
-                  })
-    , m_metricsPage(m_loop, settings.routes->metricsAddress, [this](const HttpExchangePtr &exchange) {
-        exchange->respond(StatusOk, m_metrics.page(), "text/plain; version=0.0.4");
-    })
+    , m_directory(
+          m_loop,
+          settings.routes->directoryAddress,
+          [this](const HttpExchangePtr &exchange) {
+              m_protocol.answerDirectory({*exchange, m_loop.state().query.control});
+          },
+          clientHooks())
+    , m_readiness(
+          m_loop,
+          settings.routes->readinessAddress,
+          [this](const HttpExchangePtr &exchange) {
+              m_protocol.answerReadiness(*exchange, isReady());
+          },
+          clientHooks())
+    , m_metricsPage(
+          m_loop,
+          settings.routes->metricsAddress,
+          [this](const HttpExchangePtr &exchange) {
+              exchange->respond(StatusOk, m_metrics.page(), "text/plain; version=0.0.4");
+          },
+          clientHooks())
 {
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
@@ -79,9 +87,12 @@
 ConnectionHooks RoutingThread::clientHooks()
 {
     ConnectionHooks hooks;
-    hooks.headLimit = [this] {
+    hooks.limits = [this] {
         const ControlSnapshotPtr &control = m_loop.state().query.control;
-        return control && control->routes ? control->routes->limits.headerBytes : ClientLimits().headerBytes;
+        return control && control->routes ? control->routes->limits : ClientLimits();
+    };
+    hooks.rejected = [this](ClientRejection rejection) {
+        m_loop.dispatch(ClientRejected{rejection});
     };
     return hooks;
 }
--- a/src/quetzallift/app/routingthread.h
+++ b/src/quetzallift/app/routingthread.h
@@ -31,7 +31,7 @@
     };
 
     UpstreamClient::Hooks upstreamHooks();
-    // Limits clients' requests as the configuration in force states.
+    // Limits clients' requests as the configuration in force states, and counts those that exceed the limits.
     ConnectionHooks clientHooks();
     void handleRequest(const HttpExchangePtr &exchange);
     bool isReady() const;
--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -44,9 +44,13 @@
     , m_metrics(metrics)
     , m_postToControl(std::move(postToControl))
     , m_searchers(m_loop, settings.host.address.substr(0, settings.host.address.find(':')))
-    , m_server(m_loop, settings.host.address, [this](const HttpExchangePtr &exchange) {
-        handleRequest(exchange);
-    })
+    , m_server(
+          m_loop,
+          settings.host.address,
+          [this](const HttpExchangePtr &exchange) {
+              handleRequest(exchange);
+          },
+          clientHooks())
 {
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
@@ -63,6 +67,15 @@
 
 TrafficThread::~TrafficThread() = default;
 
+ConnectionHooks TrafficThread::clientHooks()
+{
+    ConnectionHooks hooks;
+    hooks.rejected = [this](ClientRejection rejection) {
+        m_loop.dispatch(ClientRejected{rejection});
+    };
+    return hooks;
+}
+
 void TrafficThread::start()
 {
     m_thread = std::thread([this] {
--- a/src/quetzallift/app/trafficthread.h
+++ b/src/quetzallift/app/trafficthread.h
@@ -26,6 +26,9 @@
     void finish() override;
 
 private:
+    // Counts requests that exceed the limits.
+    ConnectionHooks clientHooks();
+
     // A caller that waits for its answer.
     struct Waiting {
         HttpExchangePtr exchange;
--- a/src/quetzallift/core/reduce.cpp
+++ b/src/quetzallift/core/reduce.cpp
@@ -170,6 +170,10 @@
     {
         handleRequestArrived(context, event);
     }
+    void operator()(const ClientRejected &event)
+    {
+        handleClientRejected(context, event);
+    }
     void operator()(const RequestAbandoned &event)
     {
         handleRequestAbandoned(context, event);
--- a/src/quetzallift/edge/connectionhooks.h
+++ b/src/quetzallift/edge/connectionhooks.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "quetzallift/model/clientrejection.h"
+#include "quetzallift/model/routetable.h"
+
 #include <cstddef>
 #include <functional>
 #include <string>
@@ -13,8 +16,9 @@
     // Called with the remote address as "ip:port".
     std::function<void(const std::string &peer)> opened;
     std::function<void(const std::string &peer)> closed;
-    // The greatest size of a request line and its headers together, in bytes; 32 KiB if the hook is empty. Larger requests are
-    // answered 431.
-    std::function<std::size_t()> headLimit;
+    // What a client may send now, and how long it may take. If the hook is empty, a head has at most 32 KiB and a body 1 MiB.
+    std::function<ClientLimits()> limits;
+    // Called if a request is refused before it is complete, or a connection is closed to make room for another.
+    std::function<void(ClientRejection)> rejected;
 };
 }
--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -12,16 +12,19 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
+#include <vector>
 
 namespace Quetzallift
 {
 namespace
 {
-constexpr std::size_t DefaultHeadLimit = 32768;
-constexpr Duration IdleTimeout = std::chrono::seconds(120);
-constexpr Duration IdleCheckInterval = std::chrono::seconds(30);
+// Limits of clients if the owner of the server sets none.
+constexpr ClientLimits DefaultLimits = {32768, std::size_t{1024} * 1024, std::chrono::seconds(30), std::chrono::seconds(120)};
+// The shortest time between two checks of the connections' deadlines.
+constexpr Duration MinimumCheckInterval = std::chrono::milliseconds(250);
 // Half of the file descriptors that a small host has.
 constexpr std::size_t MaximumConnections = 2000;
 constexpr int ListenBacklog = 1024;
@@ -56,8 +59,17 @@
         , m_listening(listenOn(address))
     {
         m_connectionHooks.requested = std::move(handler);
-        m_connectionHooks.headLimit = m_hooks.headLimit ? m_hooks.headLimit : [] {
-            return DefaultHeadLimit;
+        m_connectionHooks.limits = m_hooks.limits ? m_hooks.limits : [] {
+            return DefaultLimits;
+        };
+        m_connectionHooks.phaseChanged = [this](ServerConnection &connection) {
+            connection.hook.unlink();
+            add(connection);
+        };
+        m_connectionHooks.rejected = [this](ClientRejection rejection) {
+            if (m_hooks.rejected) {
+                m_hooks.rejected(rejection);
+            }
         };
         m_connectionHooks.closed = [this](ServerConnection &connection) {
             release(connection);
@@ -69,8 +81,10 @@
     {
         *m_alive = false;
         closeListeningSocket();
-        while (!m_connections.empty()) {
-            m_connections.front().close();
+        for (ConnectionList *connections : {&m_serving, &m_waiting}) {
+            while (!connections->empty()) {
+                connections->front().close();
+            }
         }
     }
 
@@ -130,12 +144,21 @@
         const int on = 1;
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         intrusive_ptr_add_ref(connection.get());
-        m_connections.push_back(*connection);
+        add(*connection);
         ++m_connectionCount;
         if (m_hooks.opened) {
             m_hooks.opened(peer);
         }
-        scheduleIdleCheck();
+    }
+
+    void add(ServerConnection &connection)
+    {
+        if (connection.phase() == ServerConnection::Phase::Serving) {
+            m_serving.push_back(connection);
+        } else {
+            m_waiting.push_back(connection);
+            scheduleCheck(connection.deadline());
+        }
     }
 
     void release(ServerConnection &connection)
@@ -162,31 +185,40 @@
         });
     }
 
-    void scheduleIdleCheck()
+    // Sees to it that the deadlines are checked at the given time or before.
+    void scheduleCheck(TimePoint at)
     {
-        if (m_idleCheckScheduled) {
+        if (at >= m_checkAt) {
             return;
         }
-        m_idleCheckScheduled = true;
-        m_loop.callAt(Clock::now() + IdleCheckInterval, [this, alive = m_alive] {
-            if (*alive) {
-                m_idleCheckScheduled = false;
-                closeIdleConnections();
+        m_checkAt = at;
+        m_loop.callAt(at, [this, at, alive = m_alive] {
+            if (*alive && at == m_checkAt) {
+                m_checkAt = TimePoint::max();
+                checkDeadlines();
             }
         });
     }
 
-    void closeIdleConnections()
+    void checkDeadlines()
     {
-        const TimePoint limit = Clock::now() - IdleTimeout;
-        for (auto next = m_connections.begin(); next != m_connections.end();) {
-            ServerConnection &connection = *next++;
-            if (connection.isIdleSince(limit)) {
-                connection.close();
+        const TimePoint now = Clock::now();
+        // Handling one connection may move or close others.
+        std::vector<ServerConnectionPtr> expired;
+        for (ServerConnection &connection : m_waiting) {
+            if (connection.deadline() <= now) {
+                expired.emplace_back(&connection);
             }
         }
-        if (!m_connections.empty()) {
-            scheduleIdleCheck();
+        for (const ServerConnectionPtr &connection : expired) {
+            connection->handleDeadline();
+        }
+        TimePoint next = TimePoint::max();
+        for (const ServerConnection &connection : m_waiting) {
+            next = std::min(next, connection.deadline());
+        }
+        if (next != TimePoint::max()) {
+            scheduleCheck(std::max(next, now + MinimumCheckInterval));
         }
     }
 
@@ -207,10 +239,13 @@
     ConnectionHooks m_hooks;
     ACE_HANDLE m_listening;
     ServerConnection::Hooks m_connectionHooks;
-    // The open connections. The list holds a reference to each.
-    ConnectionList m_connections;
+    // The open connections whose requests are being answered, and those that wait for their clients, the longest wait first.
+    // The lists hold a reference to each.
+    ConnectionList m_serving;
+    ConnectionList m_waiting;
     std::size_t m_connectionCount = 0;
-    bool m_idleCheckScheduled = false;
+    // The earliest time at which deadlines are checked.
+    TimePoint m_checkAt = TimePoint::max();
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/quetzallift/edge/requestreader.cpp
+++ b/src/quetzallift/edge/requestreader.cpp
@@ -135,6 +135,16 @@
     return m_expectsContinue;
 }
 
+bool RequestReader::hasBegun() const
+{
+    return m_parser->got_some();
+}
+
+bool RequestReader::hasHead() const
+{
+    return m_headComplete;
+}
+
 const std::string &RequestReader::errorDescription() const
 {
     return m_errorDescription;
--- a/src/quetzallift/edge/requestreader.h
+++ b/src/quetzallift/edge/requestreader.h
@@ -48,6 +48,12 @@
     // True if the client waits for an interim response before it sends the body.
     bool expectsContinue() const;
 
+    // Whether any byte of the request was read; empty lines before it do not count.
+    bool hasBegun() const;
+
+    // Whether the head is complete.
+    bool hasHead() const;
+
     // Why the request is invalid.
     const std::string &errorDescription() const;
 
--- a/src/quetzallift/edge/serverconnection.cpp
+++ b/src/quetzallift/edge/serverconnection.cpp
@@ -8,6 +8,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,15 +24,18 @@
 {
 // Most requests fit into one read.
 constexpr std::size_t ReadBufferSize = 16384;
-// The largest queries and bundle parts are far smaller.
-constexpr std::size_t MaximumBodySize = std::size_t{1024} * 1024;
 // Bytes that a client may send ahead while a request is being answered; then nothing is read until the response is sent.
 constexpr std::size_t MaximumReadAhead = 65536;
+// The longest time from the first byte of a request to its last.
+constexpr Duration RequestTimeout = std::chrono::minutes(5);
 // How long a client may take to close a connection after its last response. Closing at once could discard that response
 // while the client still sends.
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
+// What is read and discarded in that time. A client that goes on sending then waits, and can still read the response.
+constexpr std::size_t MaximumDiscarded = std::size_t{1024} * 1024;
 
 constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusContentTooLarge = 413;
 constexpr unsigned StatusHeadersTooLarge = 431;
 
@@ -57,7 +61,8 @@
     , m_socket(socket)
     , m_peer(std::move(peer))
     , m_hooks(hooks)
-    , m_lastActivity(Clock::now())
+    , m_phaseSince(Clock::now())
+    , m_lastActivity(m_phaseSince)
 { }
 
 ServerConnection::~ServerConnection()
@@ -83,6 +88,9 @@
     m_loop.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
     ::close(m_socket);
     m_socket = ACE_INVALID_HANDLE;
+    m_input = {};
+    m_reader.reset();
+    m_output = {};
     m_hooks.closed(*this);
 }
 
@@ -91,9 +99,59 @@
     return m_peer;
 }
 
-bool ServerConnection::isIdleSince(TimePoint time) const
+ServerConnection::Phase ServerConnection::phase() const
 {
-    return !m_exchange && m_lastActivity < time;
+    return m_phase;
+}
+
+TimePoint ServerConnection::deadline() const
+{
+    const ClientLimits limits = m_hooks.limits();
+    const TimePoint silentAt = m_lastActivity + limits.idleTimeout;
+    switch (m_phase) {
+    case Phase::Idle:
+        return m_phaseSince + limits.idleTimeout;
+    case Phase::Sending:
+        return silentAt;
+    case Phase::Receiving:
+        return m_reader && m_reader->hasHead() ? std::min(silentAt, m_phaseSince + RequestTimeout) : m_phaseSince + limits.headerTimeout;
+    case Phase::Serving:
+    case Phase::Lingering:
+        // Both have timers of their own.
+        break;
+    }
+    return TimePoint::max();
+}
+
+void ServerConnection::handleDeadline()
+{
+    if (m_socket == ACE_INVALID_HANDLE) {
+        return;
+    }
+    int unread = 0;
+    if (m_phase != Phase::Sending && ioctl(m_socket, FIONREAD, &unread) == 0 && unread > 0) {
+        // The bytes came in time, and this host is late.
+        return;
+    }
+    if (m_phase == Phase::Receiving) {
+        refuse(StatusRequestTimeout, ClientRejection::TooSlow, "the request was not received in time");
+        return;
+    }
+    if (m_phase == Phase::Sending) {
+        dropAnswer();
+        return;
+    }
+    close();
+}
+
+void ServerConnection::enter(Phase phase)
+{
+    if (m_socket == ACE_INVALID_HANDLE) {
+        return;
+    }
+    m_phase = phase;
+    m_phaseSince = Clock::now();
+    m_hooks.phaseChanged(*this);
 }
 
 ACE_HANDLE ServerConnection::get_handle() const
@@ -113,18 +171,31 @@
         return 0;
     }
     m_lastActivity = Clock::now();
-    if (m_lingering) {
+    if (m_phase == Phase::Lingering) {
+        discard(static_cast<std::size_t>(size));
         return 0;
     }
     m_input.append(buffer.data(), static_cast<std::size_t>(size));
     if (m_exchange || !m_output.empty()) {
-        watch(ACE_Event_Handler::READ_MASK, m_inputWatched, m_input.size() < MaximumReadAhead);
+        readAhead();
     } else {
         readRequests();
     }
     return 0;
 }
 
+void ServerConnection::readAhead()
+{
+    const bool hasRoom = m_input.size() < MaximumReadAhead;
+    watch(ACE_Event_Handler::READ_MASK, m_inputWatched, hasRoom);
+}
+
+void ServerConnection::discard(std::size_t size)
+{
+    m_discarded += size;
+    watch(ACE_Event_Handler::READ_MASK, m_inputWatched, m_discarded < MaximumDiscarded);
+}
+
 int ServerConnection::handle_output(ACE_HANDLE)
 {
     flush();
@@ -150,34 +221,51 @@
 {
     m_reading = true;
     bool incomplete = false;
-    while (m_socket != ACE_INVALID_HANDLE && !m_exchange && m_output.empty() && !m_lingering && !m_input.empty() && !incomplete) {
+    while (m_socket != ACE_INVALID_HANDLE && !m_exchange && m_output.empty() && m_phase != Phase::Lingering && !m_input.empty() && !incomplete) {
         if (!m_reader) {
-            m_reader.emplace(m_hooks.headLimit(), MaximumBodySize);
+            m_limits = m_hooks.limits();
+            m_reader.emplace(m_limits.headerBytes, m_limits.bodyBytes);
             m_waited = timeSinceLastData(m_socket);
             m_continueSent = false;
         }
         switch (m_reader->consume(m_input)) {
         case RequestReader::State::Reading:
             incomplete = true;
-            sendContinue();
+            readMore();
             break;
         case RequestReader::State::Complete:
             beginExchange();
             break;
         case RequestReader::State::Invalid:
-            refuse(StatusBadRequest, "the request cannot be read: " + m_reader->errorDescription());
+            refuse(StatusBadRequest, ClientRejection::Invalid, "the request cannot be read: " + m_reader->errorDescription());
             break;
         case RequestReader::State::HeadTooLarge:
-            refuse(StatusHeadersTooLarge, "the request line and the headers exceed the limit");
+            refuse(StatusHeadersTooLarge, ClientRejection::HeadTooLarge, "the request line, the headers and the framing of the body exceed the limit");
             break;
         case RequestReader::State::BodyTooLarge:
-            refuse(StatusContentTooLarge, "the request body exceeds the limit of 1 MiB");
+            refuse(
+                StatusContentTooLarge, ClientRejection::BodyTooLarge, "the request body exceeds the limit of " + std::to_string(m_limits.bodyBytes) + " bytes");
             break;
         }
     }
     m_reading = false;
 }
 
+void ServerConnection::readMore()
+{
+    if (m_input.empty()) {
+        m_input = {};
+    }
+    if (!m_reader->hasBegun()) {
+        m_reader.reset();
+        return;
+    }
+    if (m_phase != Phase::Receiving) {
+        enter(Phase::Receiving);
+    }
+    sendContinue();
+}
+
 void ServerConnection::sendContinue()
 {
     constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -190,14 +278,15 @@
 
 void ServerConnection::beginExchange()
 {
-    HttpServerRequest request = m_reader->release();
-    m_reader.reset();
     if (m_input.empty()) {
-        m_input.shrink_to_fit();
+        m_input = {};
     }
+    HttpServerRequest request = m_reader->release();
+    m_reader.reset();
     m_keepAlive = request.keepAlive;
     m_isHttp10 = request.isHttp10;
     m_exchange = new HttpExchange(*this, std::move(request), m_waited);
+    enter(Phase::Serving);
     m_hooks.requested(HttpExchangePtr(m_exchange));
 }
 
@@ -212,10 +301,12 @@
     sendResponse(exchange->response(), exchange->method());
 }
 
-void ServerConnection::refuse(unsigned status, const std::string &reason)
+void ServerConnection::refuse(unsigned status, ClientRejection rejection, const std::string &reason)
 {
     m_reader.reset();
+    m_input = {};
     m_keepAlive = false;
+    m_hooks.rejected(rejection);
     sendResponse({status, {{"Content-Type", "application/json"}}, encodeHttpError(Step::Admit, m_peer, reason)}, {});
 }
 
@@ -233,7 +324,7 @@
     while (m_written < m_output.size()) {
         const ssize_t size = ::send(m_socket, m_output.data() + m_written, m_output.size() - m_written, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
-            watch(ACE_Event_Handler::WRITE_MASK, m_outputWatched, true);
+            awaitReading();
             return;
         }
         if (size < 0) {
@@ -247,14 +338,28 @@
     finishResponse();
 }
 
+void ServerConnection::awaitReading()
+{
+    watch(ACE_Event_Handler::WRITE_MASK, m_outputWatched, true);
+    if (m_phase != Phase::Sending) {
+        enter(Phase::Sending);
+    }
+}
+
+void ServerConnection::dropAnswer()
+{
+    m_hooks.rejected(ClientRejection::AnswerNotRead);
+    close();
+}
+
 void ServerConnection::finishResponse()
 {
-    m_output.clear();
-    m_output.shrink_to_fit();
+    m_output = {};
     if (!m_keepAlive) {
         linger();
         return;
     }
+    enter(Phase::Idle);
     watch(ACE_Event_Handler::READ_MASK, m_inputWatched, true);
     if (!m_input.empty() && !m_reading) {
         // From the loop: the effects of the event that led to the response are still being executed.
@@ -271,9 +376,8 @@
         return;
     }
     shutdown(m_socket, SHUT_WR);
-    m_lingering = true;
-    m_input.clear();
-    m_input.shrink_to_fit();
+    enter(Phase::Lingering);
+    m_input = {};
     watch(ACE_Event_Handler::READ_MASK, m_inputWatched, true);
     m_loop.callAt(Clock::now() + LingerTimeout, [self = ServerConnectionPtr(this)] {
         self->close();
--- a/src/quetzallift/edge/serverconnection.h
+++ b/src/quetzallift/edge/serverconnection.h
@@ -2,6 +2,8 @@
 
 #include "quetzallift/edge/httpexchange.h"
 #include "quetzallift/edge/requestreader.h"
+#include "quetzallift/model/clientrejection.h"
+#include "quetzallift/model/routetable.h"
 #include "quetzallift/model/time.h"
 
 #include <ace/Event_Handler.h>
@@ -25,12 +27,30 @@
     struct Hooks {
         // A request is complete. The exchange may be answered during the call or later.
         std::function<void(const HttpExchangePtr &)> requested;
-        // The greatest size of a request line and its headers together.
-        std::function<std::size_t()> headLimit;
+        // What the client may send, and how long it may take.
+        std::function<ClientLimits()> limits;
+        // The connection has entered another phase.
+        std::function<void(ServerConnection &)> phaseChanged;
+        // A request was refused before it was complete, or the connection is closed without an answer.
+        std::function<void(ClientRejection)> rejected;
         // The connection has closed; called once.
         std::function<void(ServerConnection &)> closed;
     };
 
+    // What a connection waits for.
+    enum class Phase {
+        // The first byte of a request.
+        Idle,
+        // The rest of a request.
+        Receiving,
+        // The answer.
+        Serving,
+        // The client, which has not read the whole answer.
+        Sending,
+        // The client, which has not closed the connection after its last answer.
+        Lingering,
+    };
+
     // Takes over a connected socket. The hooks must outlive the connection's socket.
     ServerConnection(EventLoop &loop, ACE_HANDLE socket, std::string peer, const Hooks &hooks);
     ~ServerConnection() override;
@@ -49,8 +69,13 @@
     // The remote address, as "ip:port".
     const std::string &peer() const;
 
-    // Whether the client has neither sent nor read anything since the given time and waits for no response.
-    bool isIdleSince(TimePoint time) const;
+    Phase phase() const;
+
+    // The time at which the client will have taken too long, if nothing changes.
+    TimePoint deadline() const;
+
+    // Ends what the client has not completed at its deadline: refuses a request, or closes the connection.
+    void handleDeadline();
 
     int handle_input(ACE_HANDLE handle) override;
     int handle_output(ACE_HANDLE handle) override;
@@ -60,16 +85,24 @@
     Hook hook;
 
 private:
+    void enter(Phase phase);
     void readRequests();
+    void readMore();
     void sendContinue();
     void beginExchange();
     // Answers bytes that are no acceptable request, and closes the connection.
-    void refuse(unsigned status, const std::string &reason);
+    void refuse(unsigned status, ClientRejection rejection, const std::string &reason);
+    // Keeps what was read while the client waits for an answer, as long as there is room for it.
+    void readAhead();
     void sendResponse(const HttpServerResponse &response, const std::string &method);
     void flush();
+    // Waits until the client reads the rest of the response.
+    void awaitReading();
+    void dropAnswer();
     void finishResponse();
     // Closes the connection once the client has read the response.
     void linger();
+    void discard(std::size_t size);
     // Handles the end of the client's bytes; `inOrder` is false after a reset.
     void handleClientClose(bool inOrder);
     void watch(ACE_Reactor_Mask event, bool &watched, bool wanted);
@@ -78,7 +111,12 @@
     ACE_HANDLE m_socket;
     std::string m_peer;
     const Hooks &m_hooks;
+    Phase m_phase = Phase::Idle;
+    // When the phase began, and when the client last sent or read anything.
+    TimePoint m_phaseSince;
     TimePoint m_lastActivity;
+    // The limits on the size of the request that is being received.
+    ClientLimits m_limits;
 
     // Bytes that were received and not read yet.
     std::string m_input;
@@ -97,8 +135,8 @@
 
     std::string m_output;
     std::size_t m_written = 0;
-    // True once the last response was sent; what the client still sends is discarded.
-    bool m_lingering = false;
+    // What the client has sent since its last answer.
+    std::size_t m_discarded = 0;
     // True once the client has closed its side while a response was being sent.
     bool m_inputEnded = false;
     bool m_inputWatched = true;
--- a/src/quetzallift/model/metric.h
+++ b/src/quetzallift/model/metric.h
@@ -44,6 +44,8 @@
     SearchersBack,
     // Queries refused; labelled by cause.
     Refusals,
+    // Requests refused before they were complete, and connections of clients closed; labelled by cause.
+    ClientRejections,
     // Bundles or configurations adopted.
     BundlesAdopted,
     // Connections to peers that ended with unacknowledged messages.
--- a/src/quetzallift/model/routetable.h
+++ b/src/quetzallift/model/routetable.h
@@ -55,10 +55,12 @@
     unsigned connectionLimit = 1;
 };
 
-// Maximum sizes of client requests, and how long a client connection may stay idle.
+// Maximum sizes of client requests, how long a client may take to send the head of a request, and how long its connection may
+// stay idle.
 struct ClientLimits {
     std::size_t headerBytes = 16384;
     std::size_t bodyBytes = 262144;
+    Duration headerTimeout = std::chrono::seconds(3);
     Duration idleTimeout = std::chrono::seconds(15);
 };
 
--- a/src/quetzallift/routing/events.h
+++ b/src/quetzallift/routing/events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/model/clientrejection.h"
 #include "quetzallift/model/clientrequest.h"
 #include "quetzallift/model/failure.h"
 #include "quetzallift/model/forwardreply.h"
@@ -21,6 +22,11 @@
     ReloadableSettings settings;
 };
 
+// A request was refused before it was complete, or a client's connection was closed to make room.
+struct ClientRejected {
+    ClientRejection reason = ClientRejection::Invalid;
+};
+
 // The client closed its connection before the answer.
 struct RequestAbandoned {
     QueryId request;
--- a/src/quetzallift/routing/handlers.h
+++ b/src/quetzallift/routing/handlers.h
@@ -10,6 +10,9 @@
 // Refuses a request, or sends its parts to searchers.
 void handleRequestArrived(ReduceContext &context, const RequestArrived &event);
 
+// Counts the rejection, and logs the rejections now and then.
+void handleClientRejected(ReduceContext &context, const ClientRejected &event);
+
 // Drops a request whose client closed its connection.
 void handleRequestAbandoned(ReduceContext &context, const RequestAbandoned &event);
 
--- a/src/quetzallift/routing/routingstate.h
+++ b/src/quetzallift/routing/routingstate.h
@@ -3,6 +3,7 @@
 #include "quetzallift/model/controlsnapshot.h"
 #include "quetzallift/model/reloadablesettings.h"
 #include "quetzallift/routing/processordelay.h"
+#include "quetzallift/routing/rejections.h"
 #include "quetzallift/routing/routelatency.h"
 #include "quetzallift/routing/runningrequest.h"
 #include "quetzallift/routing/serviceload.h"
@@ -48,6 +49,7 @@
     bool reportedBusy = false;
     // The time of the last BusyCheck timer that was set.
     TimePoint busyCheckAt;
+    Rejections rejections;
     std::uint64_t lastAttempt = 0;
     // While this host leaves, the time at which requests that still run are cut off.
     std::optional<TimePoint> cutOffAt;
--- a/tests/edge/requestlimits_test.cpp
+++ b/tests/edge/requestlimits_test.cpp
@@ -156,8 +156,10 @@
 Test(requestlimits, headBeyondTheLimitIsRefused, .timeout = 60)
 {
     ConnectionHooks hooks;
-    hooks.headLimit = [] {
-        return HeadLimit;
+    hooks.limits = [] {
+        ClientLimits limits;
+        limits.headerBytes = HeadLimit;
+        return limits;
     };
     bool handled = false;
     const auto handler = [&handled](const HttpExchangePtr &exchange) {
