Limit the memory that clients can make a host hold

In a trial, clients that sent large bodies of legal size and stopped just short of their end made a process run out of memory.

ClientMemory counts the bytes of all connections of a traffic thread, over all its ports: what is unread, the request while it is received, while it waits and while searchers read its body, and answers that are not sent. They may take an eighth of host.memory_mb (a new setting, 160 by default), divided by the threads. When the sum is reached, the request that began first is refused (503 with Retry-After, as it has not run), or the client is closed that reads its answer the longest, in favour of the new one. A quarter is kept for requests of up to 16 KiB, which are never given up for larger ones. A body is no longer copied between the exchange and the request, takes memory as it arrives instead of by its announced length, and the kernel keeps 32 KiB (doubled by Linux) a connection and direction. The bound on incomplete responses of searchers follows the same setting.

--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -19,35 +19,40 @@
     , m_metrics(metrics)
     , m_protocol(std::move(protocol))
     , m_postToControl(std::move(postToControl))
-    , m_upstream(m_loop, upstreamHooks())
+    , m_resources(settings)
+    , m_upstream(m_loop, upstreamHooks(), m_resources.responseBytes)
     , m_clients(
           m_loop,
           settings.host.address,
           [this](const HttpExchangePtr &exchange) {
               handleRequest(exchange);
           },
-          clientHooks())
+          clientHooks(),
+          m_resources.server())
     , m_directory(
           m_loop,
           settings.routes->directoryAddress,
           [this](const HttpExchangePtr &exchange) {
               m_protocol.answerDirectory({*exchange, m_loop.state().query.control});
           },
-          clientHooks())
+          clientHooks(),
+          m_resources.server())
     , m_readiness(
           m_loop,
           settings.routes->readinessAddress,
           [this](const HttpExchangePtr &exchange) {
               m_protocol.answerReadiness(*exchange, isReady());
           },
-          clientHooks())
+          clientHooks(),
+          m_resources.server())
     , m_metricsPage(
           m_loop,
           settings.routes->metricsAddress,
           [this](const HttpExchangePtr &exchange) {
               exchange->respond(StatusOk, m_metrics.page(), "text/plain; version=0.0.4");
           },
-          clientHooks())
+          clientHooks(),
+          m_resources.server())
 {
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
--- a/src/quetzallift/app/routingthread.h
+++ b/src/quetzallift/app/routingthread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/app/clientresources.h"
 #include "quetzallift/app/settings.h"
 #include "quetzallift/app/traffic.h"
 #include "quetzallift/edge/clientprotocol.h"
@@ -44,6 +45,7 @@
     Metrics &m_metrics;
     ClientProtocol m_protocol;
     ControlPost m_postToControl;
+    ClientResources m_resources;
     EventLoop m_loop;
     UpstreamClient m_upstream;
     HttpServer m_clients;
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -29,7 +29,7 @@
     return text;
 }
 
-HostIdentity decodeHost(JsonFields fields)
+HostIdentity decodeHost(JsonFields &fields)
 {
     HostIdentity host;
     host.name = fields.text("name", MaximumNameLength);
@@ -53,9 +53,19 @@
     host.capacity = static_cast<unsigned>(std::lround(processorShare * fields.number("processor_speed", 0.0, MaximumCores, 1.0) * CapacityUnits));
     host.cell = fields.text("cell", std::string(), MaximumNameLength);
     host.peers = fields.texts("peers");
-    fields.rejectUnknown();
     return host;
 }
+
+// Zero stands for a limit that is not known.
+HostResources decodeResources(JsonFields &fields)
+{
+    constexpr std::uint64_t Megabyte = std::uint64_t{1024} * 1024;
+    constexpr std::uint64_t MaximumMegabytes = Megabyte;
+    HostResources resources;
+    const std::uint64_t megabytes = fields.integer("memory_mb", 0, MaximumMegabytes, 0);
+    resources.memoryBytes = megabytes > 0 ? megabytes * Megabyte : resources.memoryBytes;
+    return resources;
+}
 }
 
 namespace
@@ -133,7 +143,10 @@
     const nlohmann::json document = parseJson(text, Step::Settings, source, true);
     JsonFields fields(document, Step::Settings, source);
     Settings settings;
-    settings.host = decodeHost(fields.object("host"));
+    JsonFields host = fields.object("host");
+    settings.host = decodeHost(host);
+    settings.resources = decodeResources(host);
+    host.rejectUnknown();
     JsonFields platform = fields.object("platform");
     settings.platform = address(platform, "address");
     settings.callBudget = decodeCallBudget(platform);
--- a/src/quetzallift/app/settings.h
+++ b/src/quetzallift/app/settings.h
@@ -16,9 +16,15 @@
     std::string metricsAddress;
 };
 
+// What the process may use of its host.
+struct HostResources {
+    std::size_t memoryBytes = std::size_t{160} * 1024 * 1024;
+};
+
 // What an entry host is told at its start.
 struct Settings {
     HostIdentity host;
+    HostResources resources;
     // The platform's "ip:port".
     std::string platform;
     CallBudget callBudget;
--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -43,6 +43,7 @@
     , m_dataCentre(settings.host.dataCentre)
     , m_metrics(metrics)
     , m_postToControl(std::move(postToControl))
+    , m_resources(settings)
     , m_searchers(m_loop, settings.host.address.substr(0, settings.host.address.find(':')))
     , m_server(
           m_loop,
@@ -50,7 +51,8 @@
           [this](const HttpExchangePtr &exchange) {
               handleRequest(exchange);
           },
-          clientHooks())
+          clientHooks(),
+          m_resources.server())
 {
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
--- a/src/quetzallift/app/trafficthread.h
+++ b/src/quetzallift/app/trafficthread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/app/clientresources.h"
 #include "quetzallift/app/settings.h"
 #include "quetzallift/app/traffic.h"
 #include "quetzallift/edge/eventloop.h"
@@ -49,6 +50,7 @@
     std::string m_dataCentre;
     Metrics &m_metrics;
     ControlPost m_postToControl;
+    ClientResources m_resources;
     EventLoop m_loop;
     SearcherClient m_searchers;
     HttpServer m_server;
--- a/src/quetzallift/edge/clientprotocol.h
+++ b/src/quetzallift/edge/clientprotocol.h
@@ -22,7 +22,8 @@
 // The encoding of requests and answers on the connections of clients and searchers.
 struct ClientProtocol {
     // Reads a client's request. Throws Error if the request is invalid.
-    std::function<ClientRequestPtr(const HttpExchange &)> readRequest;
+    // Takes the body out of the exchange.
+    std::function<ClientRequestPtr(HttpExchange &)> readRequest;
     std::function<void(HttpExchange &, const ClientAnswer &)> writeAnswer;
 
     // Writes the request that a searcher receives, with the time that the searcher has for it.
--- a/src/quetzallift/edge/connectionhooks.h
+++ b/src/quetzallift/edge/connectionhooks.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/edge/clientmemory.h"
 #include "quetzallift/model/clientrejection.h"
 #include "quetzallift/model/routetable.h"
 
@@ -21,4 +22,10 @@
     // Called if a request is refused before it is complete, or a connection is closed to make room for another.
     std::function<void(ClientRejection)> rejected;
 };
+
+// What the connections of an HttpServer may take of the process.
+struct ServerResources {
+    // Limits the bytes of the connections, with those of other servers of the thread; null for no limit.
+    ClientMemoryPtr memory = nullptr;
+};
 }
--- a/src/quetzallift/edge/httpexchange.cpp
+++ b/src/quetzallift/edge/httpexchange.cpp
@@ -22,11 +22,12 @@
 }
 }
 
-HttpExchange::HttpExchange(ServerConnection &connection, HttpServerRequest request, Duration waited)
+HttpExchange::HttpExchange(ServerConnection &connection, HttpServerRequest request, Duration waited, LifetimePtr memory)
     : m_connection(&connection)
     , m_request(std::move(request))
     , m_peer(connection.peer())
     , m_waited(waited)
+    , m_memory(std::move(memory))
 { }
 
 const std::string &HttpExchange::method() const
@@ -49,6 +50,16 @@
     return m_request.body;
 }
 
+std::string HttpExchange::takeBody()
+{
+    return std::move(m_request.body);
+}
+
+const LifetimePtr &HttpExchange::memory() const
+{
+    return m_memory;
+}
+
 Duration HttpExchange::waited() const
 {
     return m_waited;
--- a/src/quetzallift/edge/httpexchange.h
+++ b/src/quetzallift/edge/httpexchange.h
@@ -20,7 +20,7 @@
 {
 public:
     // The request waited in the socket for the given time before it was read.
-    HttpExchange(ServerConnection &connection, HttpServerRequest request, Duration waited);
+    HttpExchange(ServerConnection &connection, HttpServerRequest request, Duration waited, LifetimePtr memory);
 
     const std::string &method() const;
     // The path with percent-encoded bytes decoded.
@@ -29,6 +29,12 @@
     const std::string &target() const;
     const std::string &body() const;
 
+    // Moves the body out of the exchange.
+    std::string takeBody();
+
+    // Accounts for the memory of the request; shared by those that keep parts of it.
+    const LifetimePtr &memory() const;
+
     // How long the request waited in the socket until it was read, as on a host that was busy or paused.
     Duration waited() const;
 
@@ -74,6 +80,7 @@
     HttpServerRequest m_request;
     std::string m_peer;
     Duration m_waited;
+    LifetimePtr m_memory;
     std::function<void()> m_closedHandler;
     bool m_dropped = false;
     HttpServerResponse m_response;
--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdint>
 #include <utility>
 #include <vector>
 
@@ -27,6 +28,8 @@
 constexpr Duration MinimumCheckInterval = std::chrono::milliseconds(250);
 // Half of the file descriptors that a small host has.
 constexpr std::size_t MaximumConnections = 2000;
+// What the kernel keeps for a connection that the host does not read, and for one whose client does not read.
+constexpr int SocketBufferSize = 32768;
 constexpr int ListenBacklog = 1024;
 // Other sockets of the loop are served between these.
 constexpr int MaximumAcceptsPerEvent = 64;
@@ -39,6 +42,8 @@
     const int handle = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     if (handle < 0 || setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 || setsockopt(handle, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) != 0
+        || setsockopt(handle, SOL_SOCKET, SO_RCVBUF, &SocketBufferSize, sizeof(SocketBufferSize)) != 0
+        || setsockopt(handle, SOL_SOCKET, SO_SNDBUF, &SocketBufferSize, sizeof(SocketBufferSize)) != 0
         || bind(handle, reinterpret_cast<const sockaddr *>(&socketAddress), sizeof(socketAddress)) != 0 || listen(handle, ListenBacklog) != 0) {
         if (handle >= 0) {
             close(handle);
@@ -53,11 +58,15 @@
 class HttpServer::Listener : public ACE_Event_Handler
 {
 public:
-    Listener(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks)
+    Listener(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks, ServerResources resources)
         : m_loop(loop)
         , m_hooks(std::move(hooks))
+        , m_resources(std::move(resources))
         , m_listening(listenOn(address))
     {
+        if (!m_resources.memory) {
+            m_resources.memory = new ClientMemory(SIZE_MAX);
+        }
         m_connectionHooks.requested = std::move(handler);
         m_connectionHooks.limits = m_hooks.limits ? m_hooks.limits : [] {
             return DefaultLimits;
@@ -137,7 +146,7 @@
 
     void adopt(ACE_HANDLE socket, const std::string &peer)
     {
-        const ServerConnectionPtr connection(new ServerConnection(m_loop, socket, peer, m_connectionHooks));
+        const ServerConnectionPtr connection(new ServerConnection(m_loop, socket, peer, m_resources.memory, m_connectionHooks));
         if ((m_hooks.accept && !m_hooks.accept()) || !connection->start()) {
             return;
         }
@@ -237,6 +246,7 @@
 
     EventLoop &m_loop;
     ConnectionHooks m_hooks;
+    ServerResources m_resources;
     ACE_HANDLE m_listening;
     ServerConnection::Hooks m_connectionHooks;
     // The open connections whose requests are being answered, and those that wait for their clients, the longest wait first.
@@ -249,8 +259,8 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
-HttpServer::HttpServer(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks)
-    : m_listener(std::make_unique<Listener>(loop, address, std::move(handler), std::move(hooks)))
+HttpServer::HttpServer(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks, ServerResources resources)
+    : m_listener(std::make_unique<Listener>(loop, address, std::move(handler), std::move(hooks), std::move(resources)))
 { }
 
 HttpServer::~HttpServer() = default;
--- a/src/quetzallift/edge/httpserver.h
+++ b/src/quetzallift/edge/httpserver.h
@@ -20,7 +20,7 @@
     using Handler = std::function<void(HttpExchangePtr)>;
 
     // Listens on "ip:port". Throws Error if the address is invalid or cannot be bound.
-    HttpServer(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks = {});
+    HttpServer(EventLoop &loop, const std::string &address, Handler handler, ConnectionHooks hooks = {}, ServerResources resources = {});
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/src/quetzallift/edge/requestreader.cpp
+++ b/src/quetzallift/edge/requestreader.cpp
@@ -1,9 +1,9 @@
 #include "quetzallift/edge/requestreader.h"
 
 #include <algorithm>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <utility>
 
@@ -18,6 +18,9 @@
 constexpr std::size_t LastChunkSize = 5;
 // The bytes of framing that a chunk may have without being counted as excess: its size, its line ends and a short extension.
 constexpr std::size_t OrdinaryFraming = 16;
+// The memory of a header field beside its bytes: that of the parser, of the request and of the request that is passed on.
+constexpr std::size_t FieldOverhead = 256;
+constexpr std::size_t CopiesOfHead = 3;
 
 // Some clients send an empty line after the body of their previous request (RFC 9112, section 2.2).
 std::size_t sizeOfEmptyLines(const std::string &bytes)
@@ -31,7 +34,55 @@
 }
 }
 
-class RequestReader::Parser : public Http::request_parser<Http::string_body>
+namespace
+{
+// A body for Boost.Beast's parser that takes memory as bytes arrive. The library's own takes it for the announced length.
+struct ReceivedBody {
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template<bool isRequest, typename Fields>
+        reader(Http::header<isRequest, Fields> &, value_type &body)
+            : m_body(body)
+        { }
+
+        void init(const boost::optional<std::uint64_t> &length, boost::beast::error_code &error)
+        {
+            m_length = length.value_or(0);
+            error = {};
+        }
+
+        template<typename Buffers>
+        std::size_t put(const Buffers &buffers, boost::beast::error_code &error)
+        {
+            const std::size_t size = boost::beast::buffer_bytes(buffers);
+            const std::size_t needed = m_body.size() + size;
+            if (needed > m_body.capacity() && needed <= m_length) {
+                m_body.reserve(std::min(static_cast<std::size_t>(m_length), std::max(needed, 2 * m_body.capacity())));
+            }
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+                m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
+            }
+            error = {};
+            return size;
+        }
+
+        void finish(boost::beast::error_code &error)
+        {
+            error = {};
+        }
+
+    private:
+        value_type &m_body;
+        // Zero if the length is not known.
+        std::uint64_t m_length = 0;
+    };
+};
+}
+
+class RequestReader::Parser : public Http::request_parser<ReceivedBody>
 {
 };
 
@@ -145,6 +196,12 @@
     return m_headComplete;
 }
 
+std::size_t RequestReader::memory() const
+{
+    const std::size_t bodySize = m_request.body.empty() ? m_parser->get().body().capacity() : m_request.body.capacity();
+    return CopiesOfHead * m_headSize + FieldOverhead * m_request.headers.size() + bodySize;
+}
+
 const std::string &RequestReader::errorDescription() const
 {
     return m_errorDescription;
--- a/src/quetzallift/edge/requestreader.h
+++ b/src/quetzallift/edge/requestreader.h
@@ -54,6 +54,9 @@
     // Whether the head is complete.
     bool hasHead() const;
 
+    // An upper bound of the memory that the request takes, with a copy of its headers, in bytes.
+    std::size_t memory() const;
+
     // Why the request is invalid.
     const std::string &errorDescription() const;
 
--- a/src/quetzallift/edge/responsebuffers.cpp
+++ b/src/quetzallift/edge/responsebuffers.cpp
@@ -4,12 +4,14 @@
 {
 namespace
 {
-// An eighth of the memory of a small host, which has 160 MB.
-constexpr std::size_t MaximumBytes = std::size_t{20} * 1024 * 1024;
 // The part of a scattered request has a few kilobytes.
 constexpr std::size_t OrdinaryBytes = std::size_t{64} * 1024;
 }
 
+ResponseBuffers::ResponseBuffers(std::size_t limit)
+    : m_limit(limit)
+{ }
+
 ResponseBuffers::Reservation::Reservation(ResponseBuffers &buffers)
     : m_buffers(buffers)
 { }
@@ -23,7 +25,7 @@
 {
     m_bytes += bytes;
     m_buffers.m_bytes += bytes;
-    return m_bytes <= OrdinaryBytes || m_buffers.m_bytes <= MaximumBytes;
+    return m_bytes <= OrdinaryBytes || m_buffers.m_bytes <= m_buffers.m_limit;
 }
 
 void ResponseBuffers::Reservation::release()
--- a/src/quetzallift/edge/responsebuffers.h
+++ b/src/quetzallift/edge/responsebuffers.h
@@ -9,6 +9,12 @@
 class ResponseBuffers
 {
 public:
+    // An eighth of the memory of a small host, which has 160 MB.
+    static constexpr std::size_t DefaultLimit = std::size_t{20} * 1024 * 1024;
+
+    // The limit in bytes.
+    explicit ResponseBuffers(std::size_t limit = DefaultLimit);
+
     // The bytes that one connection holds. They are released when the reservation is destroyed.
     class Reservation
     {
@@ -30,6 +36,7 @@
     };
 
 private:
+    std::size_t m_limit;
     std::size_t m_bytes = 0;
 };
 }
--- a/src/quetzallift/edge/serverconnection.cpp
+++ b/src/quetzallift/edge/serverconnection.cpp
@@ -33,11 +33,14 @@
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
 // What is read and discarded in that time. A client that goes on sending then waits, and can still read the response.
 constexpr std::size_t MaximumDiscarded = std::size_t{1024} * 1024;
+// When a client may come back that was refused for lack of memory.
+constexpr const char *RetryAfterMemory = "1";
 
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusContentTooLarge = 413;
 constexpr unsigned StatusHeadersTooLarge = 431;
+constexpr unsigned StatusUnavailable = 503;
 
 // The time since the kernel last received data on the socket; zero if the kernel does not report it.
 Duration timeSinceLastData(ACE_HANDLE socket)
@@ -56,13 +59,14 @@
 }
 }
 
-ServerConnection::ServerConnection(EventLoop &loop, ACE_HANDLE socket, std::string peer, const Hooks &hooks)
+ServerConnection::ServerConnection(EventLoop &loop, ACE_HANDLE socket, std::string peer, const ClientMemoryPtr &memory, const Hooks &hooks)
     : m_loop(loop)
     , m_socket(socket)
     , m_peer(std::move(peer))
     , m_hooks(hooks)
     , m_phaseSince(Clock::now())
     , m_lastActivity(m_phaseSince)
+    , m_charge(memory)
 { }
 
 ServerConnection::~ServerConnection()
@@ -91,6 +95,8 @@
     m_input = {};
     m_reader.reset();
     m_output = {};
+    m_charge.setReclaim(nullptr);
+    m_charge.resize(0);
     m_hooks.closed(*this);
 }
 
@@ -151,9 +157,30 @@
     }
     m_phase = phase;
     m_phaseSince = Clock::now();
+    updateReclaim();
     m_hooks.phaseChanged(*this);
 }
 
+void ServerConnection::updateReclaim()
+{
+    if (m_phase == Phase::Receiving) {
+        m_charge.setReclaim([this] {
+            refuseForMemory();
+        });
+    } else if (m_phase == Phase::Sending) {
+        m_charge.setReclaim([this] {
+            dropAnswer();
+        });
+    } else {
+        m_charge.setReclaim(nullptr);
+    }
+}
+
+bool ServerConnection::charge()
+{
+    return m_charge.resize(m_input.capacity() + (m_reader ? m_reader->memory() : 0) + m_output.capacity());
+}
+
 ACE_HANDLE ServerConnection::get_handle() const
 {
     return m_socket;
@@ -186,7 +213,7 @@
 
 void ServerConnection::readAhead()
 {
-    const bool hasRoom = m_input.size() < MaximumReadAhead;
+    const bool hasRoom = charge() && m_input.size() < MaximumReadAhead;
     watch(ACE_Event_Handler::READ_MASK, m_inputWatched, hasRoom);
 }
 
@@ -263,9 +290,18 @@
     if (m_phase != Phase::Receiving) {
         enter(Phase::Receiving);
     }
+    if (!charge()) {
+        refuseForMemory();
+        return;
+    }
     sendContinue();
 }
 
+void ServerConnection::refuseForMemory()
+{
+    refuse(StatusUnavailable, ClientRejection::Memory, "this host holds too many bytes of unfinished requests");
+}
+
 void ServerConnection::sendContinue()
 {
     constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -281,11 +317,16 @@
     if (m_input.empty()) {
         m_input = {};
     }
+    if (!charge()) {
+        refuseForMemory();
+        return;
+    }
+    LifetimePtr memory = m_charge.split(m_reader->memory());
     HttpServerRequest request = m_reader->release();
     m_reader.reset();
     m_keepAlive = request.keepAlive;
     m_isHttp10 = request.isHttp10;
-    m_exchange = new HttpExchange(*this, std::move(request), m_waited);
+    m_exchange = new HttpExchange(*this, std::move(request), m_waited, std::move(memory));
     enter(Phase::Serving);
     m_hooks.requested(HttpExchangePtr(m_exchange));
 }
@@ -307,7 +348,11 @@
     m_input = {};
     m_keepAlive = false;
     m_hooks.rejected(rejection);
-    sendResponse({status, {{"Content-Type", "application/json"}}, encodeHttpError(Step::Admit, m_peer, reason)}, {});
+    HttpServerResponse response{status, {{"Content-Type", "application/json"}}, encodeHttpError(Step::Admit, m_peer, reason)};
+    if (status == StatusUnavailable) {
+        response.headers.push_back({"Retry-After", RetryAfterMemory});
+    }
+    sendResponse(response, {});
 }
 
 void ServerConnection::sendResponse(const HttpServerResponse &response, const std::string &method)
@@ -344,6 +389,9 @@
     if (m_phase != Phase::Sending) {
         enter(Phase::Sending);
     }
+    if (!charge()) {
+        dropAnswer();
+    }
 }
 
 void ServerConnection::dropAnswer()
@@ -360,6 +408,7 @@
         return;
     }
     enter(Phase::Idle);
+    charge();
     watch(ACE_Event_Handler::READ_MASK, m_inputWatched, true);
     if (!m_input.empty() && !m_reading) {
         // From the loop: the effects of the event that led to the response are still being executed.
@@ -378,6 +427,7 @@
     shutdown(m_socket, SHUT_WR);
     enter(Phase::Lingering);
     m_input = {};
+    charge();
     watch(ACE_Event_Handler::READ_MASK, m_inputWatched, true);
     m_loop.callAt(Clock::now() + LingerTimeout, [self = ServerConnectionPtr(this)] {
         self->close();
--- a/src/quetzallift/edge/serverconnection.h
+++ b/src/quetzallift/edge/serverconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "quetzallift/edge/clientmemory.h"
 #include "quetzallift/edge/httpexchange.h"
 #include "quetzallift/edge/requestreader.h"
 #include "quetzallift/model/clientrejection.h"
@@ -52,7 +53,7 @@
     };
 
     // Takes over a connected socket. The hooks must outlive the connection's socket.
-    ServerConnection(EventLoop &loop, ACE_HANDLE socket, std::string peer, const Hooks &hooks);
+    ServerConnection(EventLoop &loop, ACE_HANDLE socket, std::string peer, const ClientMemoryPtr &memory, const Hooks &hooks);
     ~ServerConnection() override;
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
@@ -86,12 +87,17 @@
 
 private:
     void enter(Phase phase);
+    // Lets others reclaim the bytes of this connection while it waits for the client.
+    void updateReclaim();
+    // Charges the bytes that the connection holds. Returns false if they exceed the memory for all connections.
+    bool charge();
     void readRequests();
     void readMore();
     void sendContinue();
     void beginExchange();
     // Answers bytes that are no acceptable request, and closes the connection.
     void refuse(unsigned status, ClientRejection rejection, const std::string &reason);
+    void refuseForMemory();
     // Keeps what was read while the client waits for an answer, as long as there is room for it.
     void readAhead();
     void sendResponse(const HttpServerResponse &response, const std::string &method);
@@ -135,6 +141,8 @@
 
     std::string m_output;
     std::size_t m_written = 0;
+    // The bytes above.
+    ClientMemory::Charge m_charge;
     // What the client has sent since its last answer.
     std::size_t m_discarded = 0;
     // True once the client has closed its side while a response was being sent.
--- a/src/quetzallift/edge/upstreamclient.cpp
+++ b/src/quetzallift/edge/upstreamclient.cpp
@@ -16,9 +16,10 @@
 };
 }
 
-UpstreamClient::UpstreamClient(EventLoop &loop, Hooks hooks)
+UpstreamClient::UpstreamClient(EventLoop &loop, Hooks hooks, std::size_t responseLimit)
     : m_loop(loop)
     , m_hooks(std::move(hooks))
+    , m_buffers(responseLimit)
 { }
 
 UpstreamClient::~UpstreamClient()
--- a/src/quetzallift/edge/upstreamclient.h
+++ b/src/quetzallift/edge/upstreamclient.h
@@ -42,7 +42,8 @@
         };
     };
 
-    UpstreamClient(EventLoop &loop, Hooks hooks);
+    // The limit bounds the bytes of incomplete responses on all connections.
+    UpstreamClient(EventLoop &loop, Hooks hooks, std::size_t responseLimit = ResponseBuffers::DefaultLimit);
     ~UpstreamClient();
     UpstreamClient(const UpstreamClient &) = delete;
     UpstreamClient &operator=(const UpstreamClient &) = delete;
--- a/src/quetzallift/model/clientrequest.h
+++ b/src/quetzallift/model/clientrequest.h
@@ -25,6 +25,8 @@
     // End-to-end headers; hop-by-hop headers are left out.
     std::vector<Header> headers;
     std::string body;
+    // Accounts for the memory of the request.
+    LifetimePtr memory;
     // How long the client waits for the answer, if it sent a limit.
     std::optional<Duration> timeLimit;
 };
--- a/src/quetzallift/model/refcounted.h
+++ b/src/quetzallift/model/refcounted.h
@@ -11,4 +11,11 @@
 
 template<typename T>
 using RefPtr = boost::intrusive_ptr<T>;
+
+// Something that lasts as long as the values that refer to it.
+struct Lifetime : RefCounted<Lifetime> {
+    virtual ~Lifetime() = default;
+};
+
+using LifetimePtr = RefPtr<const Lifetime>;
 }
