Close the connection that waits the longest for its client when there is no room

Clients that opened connections and sent nothing, or half a head, took all descriptors of a process: with 512 descriptors and 600 connections on each of two ports, 512 of 512 were open, and neither an ordinary request nor a question for addresses was answered.

When it is used up, the connection that has been waiting for its client for the longest is closed, whatever the client trickles meanwhile; requests that are being served are never cut. Only if all connections are being served is nothing accepted for 100 ms, as before.

--- a/src/quetzallift/app/routingthread.cpp
+++ b/src/quetzallift/app/routingthread.cpp
@@ -28,7 +28,7 @@
               handleRequest(exchange);
           },
           clientHooks(),
-          m_resources.server())
+          m_resources.serverWith(m_resources.requestConnections))
     , m_directory(
           m_loop,
           settings.routes->directoryAddress,
@@ -36,7 +36,7 @@
               m_protocol.answerDirectory({*exchange, m_loop.state().query.control});
           },
           clientHooks(),
-          m_resources.server())
+          m_resources.serverWith(m_resources.directoryConnections))
     , m_readiness(
           m_loop,
           settings.routes->readinessAddress,
@@ -44,7 +44,7 @@
               m_protocol.answerReadiness(*exchange, isReady());
           },
           clientHooks(),
-          m_resources.server())
+          m_resources.serverWith(m_resources.pageConnections))
     , m_metricsPage(
           m_loop,
           settings.routes->metricsAddress,
@@ -52,7 +52,7 @@
               exchange->respond(StatusOk, m_metrics.page(), "text/plain; version=0.0.4");
           },
           clientHooks(),
-          m_resources.server())
+          m_resources.serverWith(m_resources.pageConnections))
 {
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
--- a/src/quetzallift/app/settings.cpp
+++ b/src/quetzallift/app/settings.cpp
@@ -61,9 +61,12 @@
 {
     constexpr std::uint64_t Megabyte = std::uint64_t{1024} * 1024;
     constexpr std::uint64_t MaximumMegabytes = Megabyte;
+    constexpr std::uint64_t MaximumDescriptors = 1U << 24U;
     HostResources resources;
     const std::uint64_t megabytes = fields.integer("memory_mb", 0, MaximumMegabytes, 0);
+    const std::uint64_t descriptors = fields.integer("file_descriptors", 0, MaximumDescriptors, 0);
     resources.memoryBytes = megabytes > 0 ? megabytes * Megabyte : resources.memoryBytes;
+    resources.fileDescriptors = descriptors > 0 ? descriptors : resources.fileDescriptors;
     return resources;
 }
 }
--- a/src/quetzallift/app/settings.h
+++ b/src/quetzallift/app/settings.h
@@ -19,6 +19,7 @@
 // What the process may use of its host.
 struct HostResources {
     std::size_t memoryBytes = std::size_t{160} * 1024 * 1024;
+    std::size_t fileDescriptors = 4100;
 };
 
 // What an entry host is told at its start.
--- a/src/quetzallift/app/trafficthread.cpp
+++ b/src/quetzallift/app/trafficthread.cpp
@@ -52,7 +52,7 @@
               handleRequest(exchange);
           },
           clientHooks(),
-          m_resources.server())
+          m_resources.serverWith(m_resources.requestConnections))
 {
     m_loop.state().hooks.random = [engine = std::mt19937_64(std::random_device{}())]() mutable {
         return engine();
--- a/src/quetzallift/edge/connectionhooks.h
+++ b/src/quetzallift/edge/connectionhooks.h
@@ -25,6 +25,8 @@
 
 // What the connections of an HttpServer may take of the process.
 struct ServerResources {
+    // The number of open connections. Beyond it, the one that has been waiting for its client the longest is closed.
+    std::size_t connections = 2000;
     // Limits the bytes of the connections, with those of other servers of the thread; null for no limit.
     ClientMemoryPtr memory = nullptr;
 };
--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -26,8 +26,6 @@
 constexpr ClientLimits DefaultLimits = {32768, std::size_t{1024} * 1024, std::chrono::seconds(30), std::chrono::seconds(120)};
 // The shortest time between two checks of the connections' deadlines.
 constexpr Duration MinimumCheckInterval = std::chrono::milliseconds(250);
-// Half of the file descriptors that a small host has.
-constexpr std::size_t MaximumConnections = 2000;
 // What the kernel keeps for a connection that the host does not read, and for one whose client does not read.
 constexpr int SocketBufferSize = 32768;
 constexpr int ListenBacklog = 1024;
@@ -103,7 +101,7 @@
     void stopListening()
     {
         // The kernel resets the connections that are still waiting to be accepted.
-        while (m_listening != ACE_INVALID_HANDLE && m_connectionCount < MaximumConnections && acceptOne()) { }
+        while (m_listening != ACE_INVALID_HANDLE && hasRoom() && acceptOne()) { }
         closeListeningSocket();
     }
 
@@ -115,7 +113,7 @@
     int handle_input(ACE_HANDLE) override
     {
         for (int accepted = 0; accepted < MaximumAcceptsPerEvent; ++accepted) {
-            if (m_connectionCount >= MaximumConnections) {
+            if (!hasRoom()) {
                 pauseAccepting();
                 return 0;
             }
@@ -127,6 +125,15 @@
     }
 
 private:
+    // Makes room for another connection. Returns false if all connections wait for this host rather than for their clients.
+    bool hasRoom()
+    {
+        if (m_connectionCount >= m_resources.connections && !m_waiting.empty()) {
+            m_waiting.front().closeForAnother();
+        }
+        return m_connectionCount < m_resources.connections;
+    }
+
     // Returns false if no connection can be accepted now.
     bool acceptOne()
     {
@@ -137,6 +144,10 @@
             adopt(socket, formatAddress(reinterpret_cast<const sockaddr &>(address)));
             return true;
         }
+        if ((errno == EMFILE || errno == ENFILE) && !m_waiting.empty()) {
+            m_waiting.front().closeForAnother();
+            return true;
+        }
         if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED) {
             // The listening socket stays readable, which would wake the loop again at once.
             pauseAccepting();
--- a/src/quetzallift/edge/serverconnection.cpp
+++ b/src/quetzallift/edge/serverconnection.cpp
@@ -150,6 +150,12 @@
     close();
 }
 
+void ServerConnection::closeForAnother()
+{
+    m_hooks.rejected(ClientRejection::Connections);
+    close();
+}
+
 void ServerConnection::enter(Phase phase)
 {
     if (m_socket == ACE_INVALID_HANDLE) {
--- a/src/quetzallift/edge/serverconnection.h
+++ b/src/quetzallift/edge/serverconnection.h
@@ -78,6 +78,9 @@
     // Ends what the client has not completed at its deadline: refuses a request, or closes the connection.
     void handleDeadline();
 
+    // Closes the connection to make room for another one.
+    void closeForAnother();
+
     int handle_input(ACE_HANDLE handle) override;
     int handle_output(ACE_HANDLE handle) override;
     ACE_HANDLE get_handle() const override;
--- a/tests/app/settings_test.cpp
+++ b/tests/app/settings_test.cpp
@@ -80,13 +80,15 @@
     cr_assert_float_eq(unstated.fleetWritesPerSecond, 250.0, 1e-6);
 }
 
-// Guards against a host whose clients may take more memory than it has.
+// Guards against a host whose clients may take more memory or descriptors than it has.
 Test(settings, resourcesOfTheHostAreRead)
 {
     const std::string routes = R"("routes":{"directory_address":"10.0.0.1:82","readiness_address":"10.0.0.1:83","metrics_address":"10.0.0.1:84"})";
     const std::string base = "{" + HostPart + "," + PlatformPart + "," + routes + "}";
-    const HostResources stated = decodeSettings(replaced(base, "\"region\"", "\"memory_mb\":512,\"region\""), "test").resources;
+    const HostResources stated = decodeSettings(replaced(base, "\"region\"", "\"memory_mb\":512,\"file_descriptors\":8192,\"region\""), "test").resources;
     cr_assert_eq(stated.memoryBytes, std::size_t{512} * 1024 * 1024);
+    cr_assert_eq(stated.fileDescriptors, 8192U);
     const HostResources unstated = decodeSettings(base, "test").resources;
     cr_assert_eq(unstated.memoryBytes, std::size_t{160} * 1024 * 1024);
+    cr_assert_eq(unstated.fileDescriptors, 4100U);
 }
