Accept only statuses of three digits from searchers

A searcher in trouble answered with a status of 000 elsewhere, and the client got it.

The reader now keeps the start of each status line and accepts a response only with exactly three digits after the version and one blank, also after interim responses.

--- a/src/quetzallift/edge/responsereader.cpp
+++ b/src/quetzallift/edge/responsereader.cpp
@@ -11,6 +11,8 @@
 {
 // A part of an answer is a few kilobytes; only a faulty peer sends a larger body.
 constexpr std::size_t MaximumBodySize = std::size_t{8} * 1024 * 1024;
+// The version, a blank, three digits, and the byte after them.
+constexpr std::size_t StatusLineStart = 13;
 constexpr unsigned FirstStatus = 100;
 // The peer leaves HTTP after this response, which no request asks for.
 constexpr unsigned StatusSwitchingProtocols = 101;
@@ -71,6 +73,8 @@
     m_persistent = false;
     m_surplus = false;
     m_interimResponses = 0;
+    m_interimEnded = false;
+    m_statusLine.clear();
     m_problem = nullptr;
 }
 
@@ -83,6 +87,19 @@
 }
 
 ResponseReader::State ResponseReader::consume(std::string_view bytes)
+{
+    std::size_t taken = 0;
+    do {
+        m_interimEnded = false;
+        taken += parse(bytes.substr(taken));
+    } while (m_interimEnded && taken < bytes.size());
+    if (m_complete) {
+        m_surplus = taken < bytes.size();
+    }
+    return state();
+}
+
+std::size_t ResponseReader::parse(std::string_view bytes)
 {
     static const http_parser_settings Settings = [] {
         http_parser_settings settings;
@@ -94,11 +111,35 @@
         settings.on_message_complete = &ResponseReader::onMessageComplete;
         return settings;
     }();
+    readStatusLine(bytes);
     const std::size_t taken = http_parser_execute(&m_parser, &Settings, bytes.data(), bytes.size());
-    if (m_complete) {
-        m_surplus = taken < bytes.size();
+    if (m_interimEnded) {
+        constexpr int Continue = 0;
+        http_parser_pause(&m_parser, Continue);
+        m_statusLine.clear();
     }
-    return state();
+    return taken;
+}
+
+void ResponseReader::readStatusLine(std::string_view bytes)
+{
+    // The parser skips empty lines before a response.
+    const std::size_t begin = m_statusLine.empty() ? std::min(bytes.find_first_not_of("\r\n"), bytes.size()) : 0;
+    m_statusLine.append(bytes.substr(begin, StatusLineStart - std::min(StatusLineStart, m_statusLine.size())));
+}
+
+bool ResponseReader::hasStatusOfThreeDigits() const
+{
+    constexpr std::string_view Version = "HTTP/1.1";
+    constexpr std::size_t Digits = 3;
+    const std::size_t first = Version.size() + 1;
+    return m_statusLine.size() == StatusLineStart && m_statusLine[Version.size()] == ' '
+           && std::all_of(m_statusLine.begin() + first,
+                          m_statusLine.begin() + first + Digits,
+                          [](char c) {
+                              return c >= '0' && c <= '9';
+                          })
+           && std::string_view(" \r\n").find(m_statusLine.back()) != std::string_view::npos;
 }
 
 ResponseReader::State ResponseReader::consumeEnd()
@@ -174,7 +215,7 @@
 int ResponseReader::onHeadersComplete(http_parser *parser)
 {
     auto &self = *static_cast<ResponseReader *>(parser->data);
-    if (!isStatus(parser->status_code)) {
+    if (!self.hasStatusOfThreeDigits() || !isStatus(parser->status_code)) {
         return self.fail("the status is not one of HTTP");
     }
     if (!haveValidNames(self.m_response.headers)) {
@@ -203,7 +244,12 @@
         // An interim response; the final one follows.
         self.m_response = {};
         self.m_hasHeaderValue = false;
-        return ++self.m_interimResponses > MaximumInterimResponses ? self.fail("too many interim responses") : 0;
+        if (++self.m_interimResponses > MaximumInterimResponses) {
+            return self.fail("too many interim responses");
+        }
+        self.m_interimEnded = true;
+        http_parser_pause(parser, 1);
+        return 0;
     }
     if (!haveValidNames(self.m_response.headers)) {
         return self.fail("the name of a trailer field is not a token");
--- a/src/quetzallift/edge/responsereader.h
+++ b/src/quetzallift/edge/responsereader.h
@@ -67,6 +67,11 @@
     static int onBody(http_parser *parser, const char *data, std::size_t size);
     static int onMessageComplete(http_parser *parser);
     State state();
+    // Parses bytes up to the end of an interim or final response. Returns how many were read.
+    std::size_t parse(std::string_view bytes);
+    // Keeps the start of the status line, of which the parser drops zeros before the status.
+    void readStatusLine(std::string_view bytes);
+    bool hasStatusOfThreeDigits() const;
 
     // Ends the response as Invalid; to be returned by a callback.
     int fail(const char *problem);
@@ -80,6 +85,9 @@
     bool m_complete = false;
     bool m_persistent = false;
     bool m_surplus = false;
+    // The status line up to the byte after the status, and whether an interim response has just ended.
+    std::string m_statusLine;
+    bool m_interimEnded = false;
     unsigned m_interimResponses = 0;
     // Why a callback ended the response; null if none did.
     const char *m_problem = nullptr;
--- a/tests/edge/responsereader_test.cpp
+++ b/tests/edge/responsereader_test.cpp
@@ -181,3 +181,19 @@
     const UpstreamResponse response = reader.release();
     cr_assert(response.status == 200 && response.body == "abc");
 }
+
+// Guards against a status that is read as another one, since the parser drops zeros before it: the client got a success.
+Test(responsereader, statusesHaveThreeDigits)
+{
+    for (const char *status : {"0200", "00200", "000200", " 200", "20", "2", "020", "2000"}) {
+        const std::string line = std::string("HTTP/1.1 ") + status + " OK\r\nContent-Length: 0\r\n\r\n";
+        assertInvalid(line);
+        assertInvalid("HTTP/1.1 100 Continue\r\n\r\n" + line);
+    }
+    for (const std::string &end : std::vector<std::string>{" OK\r\n", " \r\n", "\r\n"}) {
+        const std::string bytes = "HTTP/1.1 100" + end + "\r\nHTTP/1.1 200" + end + "Content-Length: 0\r\n\r\n";
+        for (std::size_t division = 1; division <= bytes.size(); ++division) {
+            cr_assert(stateAfter(bytes, division) == ResponseReader::State::Complete, "divided at %zu: %s", division, bytes.c_str());
+        }
+    }
+}
--- a/tests/platform/malformedanswer_test.cpp
+++ b/tests/platform/malformedanswer_test.cpp
@@ -75,3 +75,10 @@
     const std::string proper = answerToClient(port, "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n" + Fields + "\r\nabc");
     cr_assert(proper.starts_with("HTTP/1.1 200 "), "%s", proper.c_str());
 }
+
+// Guards against a status with zeros before it, which reached the client as a success.
+Test(malformedanswer, statusOfFourDigitsIsAFailure)
+{
+    const std::string answer = answerToClient(20031, "HTTP/1.1 0200 OK\r\n" + Fields + "\r\nabc");
+    cr_assert(answer.starts_with("HTTP/1.1 502 "), "%s", answer.c_str());
+}
