Close a connection for another one only once that is accepted

At the limit of connections the server made room before it knew that a connection was waiting to be accepted, and so closed one idle connection too many with each that it accepted. httpserver/theLongestIdleConnectionMakesRoom shows that two clients keep their connections at a limit of two, and that the third takes the place of the one that was idle the longest; it passes with this change. 5 of 5 tests of the server and both tests of crowds of connections pass.

--- a/src/quetzallift/edge/httpserver.cpp
+++ b/src/quetzallift/edge/httpserver.cpp
@@ -125,13 +125,10 @@
     }
 
 private:
-    // Makes room for another connection. Returns false if all connections wait for this host rather than for their clients.
-    bool hasRoom()
+    // False if no connection can be closed for another one, since all wait for this host rather than for their clients.
+    bool hasRoom() const
     {
-        if (m_connectionCount >= m_resources.connections && !m_waiting.empty()) {
-            m_waiting.front().closeForAnother();
-        }
-        return m_connectionCount < m_resources.connections;
+        return m_connectionCount < m_resources.connections || !m_waiting.empty();
     }
 
     // Returns false if no connection can be accepted now.
@@ -163,6 +160,9 @@
         }
         const int on = 1;
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        if (m_connectionCount >= m_resources.connections) {
+            m_waiting.front().closeForAnother();
+        }
         intrusive_ptr_add_ref(connection.get());
         add(*connection);
         ++m_connectionCount;
--- a/tests/edge/httpserver_test.cpp
+++ b/tests/edge/httpserver_test.cpp
@@ -135,3 +135,51 @@
         cr_assert(isOpen || loop.reactor().find_handler(handle) == nullptr, "descriptor %d", handle);
     }
 }
+
+// Guards against a connection that is closed although there is room, and against one that keeps others out since there is none.
+Test(httpserver, theLongestIdleConnectionMakesRoom, .timeout = 60)
+{
+    constexpr const char *LimitedAddress = "127.0.0.1:19886";
+    constexpr std::size_t Limit = 2;
+    EventLoop loop;
+    const HttpServer server(loop,
+                            LimitedAddress,
+                            [](const HttpExchangePtr &exchange) {
+                                exchange->respond(200, "whole");
+                            },
+                            {},
+                            {Limit, nullptr});
+    std::vector<int> clients;
+    const auto isServed = [&clients](std::size_t number) {
+        const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        std::string received;
+        char byte = 0;
+        send(clients[number], request.data(), request.size(), MSG_NOSIGNAL);
+        while (!received.ends_with("whole") && recv(clients[number], &byte, 1, 0) == 1) {
+            received += byte;
+        }
+        return received.ends_with("whole");
+    };
+    const auto connectClient = [&clients] {
+        const sockaddr_in peer = parseAddress(LimitedAddress);
+        clients.push_back(socket(AF_INET, SOCK_STREAM, 0));
+        cr_assert_eq(connect(clients.back(), reinterpret_cast<const sockaddr *>(&peer), sizeof(peer)), 0);
+    };
+    std::thread client([&] {
+        for (std::size_t number = 0; number < Limit; ++number) {
+            connectClient();
+            cr_expect(isServed(number));
+        }
+        cr_expect(isServed(0));
+        connectClient();
+        cr_expect(isServed(2));
+        cr_expect(isServed(0), "the connection that was used last was closed");
+        cr_expect_not(isServed(1), "the connection that was idle the longest is still open");
+        loop.stop();
+    });
+    loop.run();
+    client.join();
+    for (const int handle : clients) {
+        close(handle);
+    }
+}
