--- a/tests/platform/soak/callers.cpp
+++ b/tests/platform/soak/callers.cpp
@@ -128,7 +128,7 @@
     const std::string address = host.process->directoryAddress();
     const std::string target = "/quetzallift/resolution?name=soak.example&region=" + client.dataCentre + "&zone=" + client.dataCentre;
     m_client.send({attempt, "directory@" + address, address, [target, address] {
-                       return "GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
+                       return OutgoingRequest{"GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n", nullptr};
                    }});
     m_deployment.loop().callAt(Clock::now() + DirectoryTimeout, [this, attempt] {
         leave(attempt);
@@ -178,7 +178,7 @@
     const std::string text = "GET " + sent.target + " HTTP/1.1\r\nHost: " + ClientHost + "\r\nRequest-Id: " + sent.id
                              + "\r\nDeadline-Ms: " + std::to_string(std::max<std::int64_t>(1, left.count())) + "\r\n\r\n";
     m_client.send({attempt, key, address, [text] {
-                       return text;
+                       return OutgoingRequest{text, nullptr};
                    }});
     TimePoint until = call.deadline;
     if (call.kind == CallKind::Request && chance(m_leavingShare)) {
