--- a/src/quetzallift/edge/requestreader.cpp
+++ b/src/quetzallift/edge/requestreader.cpp
@@ -38,13 +38,11 @@
 {
 // A body for Boost.Beast's parser that takes memory as bytes arrive. The library's own takes it for the announced length.
 struct ReceivedBody {
-    using value_type = std::string;
-
-    class reader
+    class Reader
     {
     public:
         template<bool isRequest, typename Fields>
-        reader(Http::header<isRequest, Fields> &, value_type &body)
+        Reader(Http::header<isRequest, Fields> &, std::string &body)
             : m_body(body)
         { }
 
@@ -75,10 +73,14 @@
         }
 
     private:
-        value_type &m_body;
+        std::string &m_body;
         // Zero if the length is not known.
         std::uint64_t m_length = 0;
     };
+
+    // The names that the library expects.
+    using value_type = std::string;
+    using reader = Reader;
 };
 }
 
