--- a/review/lib2/host.cpp
+++ b/review/lib2/host.cpp
@@ -91,7 +91,7 @@
         {"listen.ready", m_place.ready()},
         {"zone", m_place.zone},
         {"region", m_place.region},
-        {"zones|json", "{\"" + m_place.zone + "\": \"" + m_place.region + "\"}"},
+        {"zones|json", R"({"kingston-a": "kingston", "montego-a": "montego", "ocho-a": "ocho-rios"})"},
         {"limits.cpu-share", "0.25"},
         {"limits.cores", "1"},
         {"limits.memory-mb", "260"},
