--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -37,7 +37,7 @@
 constexpr long DrainAtMs = 21000;
 constexpr long DrainMs = 3000;
 constexpr long AskAtMs = DrainAtMs + DrainMs + 1000;
-constexpr int ClientsOfHost = 6;
+constexpr int ClientsOfHost = 24;
 constexpr int WorkMs = 20;
 
 nlohmann::json version(unsigned number)
@@ -55,7 +55,7 @@
     std::vector<std::unique_ptr<Searcher>> searchers;
     std::vector<std::string> states;
     int number = 0;
-    for (const char *service : {"desk", "desk", "shop", "shop"}) {
+    for (const char *service : {"desk", "desk", "desk", "desk", "desk", "desk", "desk", "desk", "shop", "shop"}) {
         ++number;
         const SearcherPlace place{
             "i-" + std::string(service) + "-" + std::to_string(number), service, net + std::to_string(100 + number) + ":8080", "kingston-a"};
